--- /dev/null
+++ b/cmake/Modules.cmake
@@ -0,0 +1,26 @@
+# Declares the library modules/NAME from every source in its folder and links the given libraries.
+# A module without sources yet becomes an interface library.
+function(skylarkchute_module NAME)
+  file(GLOB_RECURSE SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/modules/${NAME}/*.cpp)
+  if(SOURCES)
+    add_library(${NAME} STATIC ${SOURCES})
+    target_include_directories(${NAME} PUBLIC ${CMAKE_SOURCE_DIR}/modules)
+    target_link_libraries(${NAME} PUBLIC ${ARGN})
+  else()
+    add_library(${NAME} INTERFACE)
+    target_include_directories(${NAME} INTERFACE ${CMAKE_SOURCE_DIR}/modules)
+    target_link_libraries(${NAME} INTERFACE ${ARGN})
+  endif()
+endfunction()
+
+# Declares one Catch2 program for the library NAME from every source in tests/NAME.
+function(skylarkchute_test NAME)
+  file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${NAME}/*.cpp)
+  if(NOT SOURCES)
+    return()
+  endif()
+  add_executable(${NAME}_tests ${SOURCES})
+  target_link_libraries(${NAME}_tests PRIVATE catch_main ${ARGN})
+  target_include_directories(${NAME}_tests PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+  add_test(NAME ${NAME} COMMAND ${NAME}_tests --order lex)
+endfunction()
--- /dev/null
+++ b/modules/skylarkchute_core/events/EventLog.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "LogEvent.h"
+
+#include <string>
+
+namespace skylarkchute {
+
+enum class LogFormat
+{
+  Text,
+  Json,
+};
+
+/** Writes log events to standard error through log4cxx. Safe to use from several threads. */
+class EventLog
+{
+public:
+  /** @param aInstance  added to every line
+      @param aFormat    one JSON object a line, or `name key=value` text
+      @param aMinimum   events below this level are dropped */
+  EventLog(std::string aInstance, LogFormat aFormat, EventLevel aMinimum);
+
+  /** Writes one event. */
+  void Write(const LogEvent& aEvent) const;
+
+  /** Returns the line written for @p aEvent. */
+  std::string Render(const LogEvent& aEvent) const;
+
+private:
+  std::string mInstance;
+  LogFormat mFormat;
+  EventLevel mMinimum;
+};
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_core/identifiers/Identifier.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace skylarkchute {
+
+/** A string identifier that cannot be confused with one of another kind. */
+template<typename Tag>
+class Identifier
+{
+public:
+  Identifier() = default;
+
+  explicit Identifier(std::string aValue) : mValue(std::move(aValue)) {}
+
+  /** Returns the text of the identifier. */
+  const std::string& Value() const { return mValue; }
+
+  /** Returns whether the identifier has no text. */
+  bool IsEmpty() const { return mValue.empty(); }
+
+  friend bool operator==(const Identifier&, const Identifier&) = default;
+  friend std::strong_ordering operator<=>(const Identifier&, const Identifier&) = default;
+
+private:
+  std::string mValue;
+};
+
+} // namespace skylarkchute
+
+template<typename Tag>
+struct std::hash<skylarkchute::Identifier<Tag>>
+{
+  std::size_t operator()(const skylarkchute::Identifier<Tag>& aIdentifier) const noexcept
+  {
+    return std::hash<std::string>{}(aIdentifier.Value());
+  }
+};
--- /dev/null
+++ b/modules/skylarkchute_endpoints/skylarkchute_endpoints.h
@@ -0,0 +1,3 @@
+#pragma once
+
+/** Clients of the endpoints: model engines and plain services. */
--- /dev/null
+++ b/modules/skylarkchute_entry/skylarkchute_entry.h
@@ -0,0 +1,3 @@
+#pragma once
+
+/** HTTP towards callers. */
--- /dev/null
+++ b/modules/skylarkchute_ledger/skylarkchute_ledger.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/** Write-once registers for claims and session pins, session tokens, tickets, usage batches. */
+
+#include "LedgerTypes.h"
--- /dev/null
+++ b/modules/skylarkchute_node/skylarkchute_node.h
@@ -0,0 +1,3 @@
+#pragma once
+
+/** Composes routing, ledger, bundles and peers: one event in, actions out. */
--- /dev/null
+++ b/modules/skylarkchute_routing/skylarkchute_routing.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/** Admission, limits, version and endpoint choice, retries, breakers: the routing decisions. */
+
+#include "Router.h"
+#include "requests/AttemptOutcome.h"
+#include "requests/RequestFacts.h"
+#include "requests/RouterStep.h"
+#include "tables/EndpointRecord.h"
--- /dev/null
+++ b/tests/CatchMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
