Platform stand-in, its clients and the budget of calls

Cause: nothing can be agreed or kept before the object API can be called within its rates. Change: object API and instance list stand-ins with outage, delay, lost answers and list lag; an HTTP client that tells certain failures from unknown ones; a budgeter with priorities, outage detection and probes; a caller that runs it on threads. Conclusion: every later caller of the object API goes through PlatformCaller.

--- /dev/null
+++ b/modules/skylarkchute_platform/budget/CallBudgeter.cpp
@@ -0,0 +1,171 @@
+#include "CallBudgeter.h"
+
+#include "../events/PlatformEvents.h"
+
+#include <algorithm>
+
+namespace skylarkchute {
+
+namespace {
+
+constexpr double kLeastTokens = 1.0; // A bucket below one call would never let one leave.
+
+bool IsWatch(const ObjectCall& aCall)
+{
+  return std::holds_alternative<WatchObjects>(aCall.mOperation);
+}
+
+bool IsWriteCall(const ObjectCall& aCall)
+{
+  return std::holds_alternative<PutObject>(aCall.mOperation) ||
+         std::holds_alternative<DeleteObject>(aCall.mOperation);
+}
+
+bool IsFailure(ObjectStatus aStatus)
+{
+  return aStatus == ObjectStatus::Unavailable || aStatus == ObjectStatus::Unknown;
+}
+
+} // namespace
+
+CallBudgeter::CallBudgeter(Options aOptions) : mOptions(aOptions), mJitterState(aOptions.mSeed)
+{
+  SetFleetSize(1);
+  mReads.mTokens = mReads.mCapacity;
+  mWrites.mTokens = mWrites.mCapacity;
+}
+
+void CallBudgeter::SetFleetSize(std::size_t aInstances)
+{
+  const auto size = static_cast<double>(std::max<std::size_t>(aInstances, 1));
+  const auto burstSeconds = std::chrono::duration<double>(mOptions.mBurst).count();
+  mReads.mRate = mOptions.mFleetReadsPerSecond / size;
+  mWrites.mRate = mOptions.mFleetWritesPerSecond / size;
+  mReads.mCapacity = std::max(kLeastTokens, mReads.mRate * burstSeconds);
+  mWrites.mCapacity = std::max(kLeastTokens, mWrites.mRate * burstSeconds);
+}
+
+BudgetOutput CallBudgeter::Submit(const ObjectCall& aCall, TimePoint aNow)
+{
+  BudgetOutput output;
+  if (mOutage && !IsWatch(aCall) && !IsProbeDue(aNow)) {
+    Refuse(aCall, output);
+    return output;
+  }
+  mWaiting.emplace(aCall.mPurpose, Waiting{ aCall, aNow + aCall.mTimeout });
+  SendWaiting(aNow, output);
+  return output;
+}
+
+BudgetOutput CallBudgeter::OnReply(const ObjectReply& aReply, TimePoint aNow)
+{
+  BudgetOutput output;
+  if (IsFailure(aReply.mStatus)) {
+    ++mFailures;
+    if (!mOutage && mFailures >= mOptions.mFailuresForOutage) {
+      mOutage = true;
+      mProbePeriod = mOptions.mFirstProbe;
+      output.mEvents.push_back({ &kStoreOutageBegan, {} });
+    }
+    if (mOutage) {
+      ScheduleProbe(aNow);
+    }
+    return output;
+  }
+  mFailures = 0;
+  if (mOutage) {
+    mOutage = false;
+    output.mEvents.push_back({ &kStoreOutageEnded, {} });
+  }
+  SendWaiting(aNow, output);
+  return output;
+}
+
+BudgetOutput CallBudgeter::Tick(TimePoint aNow)
+{
+  BudgetOutput output;
+  for (auto it = mWaiting.begin(); it != mWaiting.end();) {
+    const bool giveUp = !IsWatch(it->second.mCall) && (mOutage || aNow >= it->second.mGiveUp);
+    if (giveUp && !(mOutage && IsProbeDue(aNow))) {
+      Refuse(it->second.mCall, output);
+      it = mWaiting.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  SendWaiting(aNow, output);
+  return output;
+}
+
+void CallBudgeter::Refill(Bucket& aBucket, TimePoint aNow) const
+{
+  const auto elapsed = std::chrono::duration<double>(aNow - aBucket.mFilled).count();
+  aBucket.mFilled = aNow;
+  aBucket.mTokens = std::min(aBucket.mCapacity, aBucket.mTokens + elapsed * aBucket.mRate);
+}
+
+bool CallBudgeter::TryTake(const ObjectCall& aCall, TimePoint aNow)
+{
+  auto& bucket = IsWriteCall(aCall) ? mWrites : mReads;
+  Refill(bucket, aNow);
+  if (bucket.mTokens < 1.0) {
+    return false;
+  }
+  bucket.mTokens -= 1.0;
+  return true;
+}
+
+void CallBudgeter::SendWaiting(TimePoint aNow, BudgetOutput& aOutput)
+{
+  for (auto it = mWaiting.begin(); it != mWaiting.end();) {
+    if (mOutage && !IsProbeDue(aNow)) {
+      return;
+    }
+    if (!TryTake(it->second.mCall, aNow)) {
+      ++it;
+      continue;
+    }
+    if (mOutage) {
+      ScheduleProbe(aNow);
+    }
+    ++CountOf(it->first).mSent;
+    aOutput.mSend.push_back(it->second.mCall);
+    it = mWaiting.erase(it);
+  }
+}
+
+void CallBudgeter::Refuse(const ObjectCall& aCall, BudgetOutput& aOutput)
+{
+  ++CountOf(aCall.mPurpose).mRefused;
+  ObjectReply reply;
+  reply.mId = aCall.mId;
+  reply.mStatus = ObjectStatus::Unavailable;
+  reply.mRetryAfter = mOutage ? mProbePeriod : std::chrono::milliseconds(1000);
+  aOutput.mRefused.push_back(reply);
+}
+
+bool CallBudgeter::IsProbeDue(TimePoint aNow) const
+{
+  return aNow >= mNextProbe;
+}
+
+void CallBudgeter::ScheduleProbe(TimePoint aNow)
+{
+  mJitterState = StableHash("probe", mJitterState + 1);
+  const auto jitterPercent = 50 + static_cast<std::int64_t>(mJitterState % 101);
+  mNextProbe = aNow + mProbePeriod * jitterPercent / 100;
+  mProbePeriod = std::min(mProbePeriod * 2, mOptions.mLongestProbe);
+}
+
+BudgetCount& CallBudgeter::CountOf(CallPurpose aPurpose)
+{
+  for (auto& it : mCounts) {
+    if (it.mPurpose == aPurpose) {
+      return it;
+    }
+  }
+  mCounts.push_back({ aPurpose });
+  return mCounts.back();
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_platform/instances/InstanceList.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <skylarkchute_core/skylarkchute_core.h>
+
+#include <boost/leaf.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace skylarkchute {
+
+enum class InstanceKind
+{
+  Entry,
+  Engine,
+  Service,
+};
+
+/** One entry of the platform's instance list: an entry instance or an endpoint. */
+struct InstanceRecord
+{
+  std::string mId;
+  std::string mAddress; /**< IP number. */
+  std::uint16_t mPort = 0;
+  std::uint16_t mPeerPort = 0; /**< Of entry instances. */
+  ZoneName mZone;
+  InstanceKind mKind = InstanceKind::Engine;
+  ServiceName mService; /**< Of plain services. */
+  bool mLeaving = false;
+};
+
+/** The instance list at one position. */
+struct InstanceList
+{
+  std::uint64_t mPosition = 0;
+  std::vector<InstanceRecord> mInstances;
+};
+
+/** Parses the platform's JSON. Entries that cannot be understood are errors of type Faults. */
+boost::leaf::result<InstanceList> ParseInstanceList(const std::string& aText);
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_platform/objects/PlatformCaller.cpp
@@ -0,0 +1,118 @@
+#include "PlatformCaller.h"
+
+namespace skylarkchute {
+
+PlatformCaller::PlatformCaller(Options aOptions,
+                               ObjectApi& aApi,
+                               const Clock& aClock,
+                               ReplyHandler aOnReply,
+                               EventHandler aOnEvent)
+  : mApi(aApi)
+  , mClock(aClock)
+  , mOnReply(std::move(aOnReply))
+  , mOnEvent(std::move(aOnEvent))
+  , mBudgeter(aOptions.mBudget)
+{
+  for (std::size_t n = 0; n < aOptions.mCallThreads; ++n) {
+    mThreads.emplace_back([this] { RunWorker(mCallQueue); });
+  }
+  for (std::size_t n = 0; n < aOptions.mWatchThreads; ++n) {
+    mThreads.emplace_back([this] { RunWorker(mWatchQueue); });
+  }
+}
+
+PlatformCaller::~PlatformCaller()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mStopping = true;
+  }
+  mCallQueue.mFilled.notify_all();
+  mWatchQueue.mFilled.notify_all();
+  for (auto& it : mThreads) {
+    it.join();
+  }
+}
+
+void PlatformCaller::Submit(const ObjectCall& aCall)
+{
+  BudgetOutput output;
+  {
+    const std::lock_guard lock(mMutex);
+    output = mBudgeter.Submit(aCall, mClock.Now());
+  }
+  Carry(output);
+}
+
+void PlatformCaller::Tick()
+{
+  BudgetOutput output;
+  {
+    const std::lock_guard lock(mMutex);
+    output = mBudgeter.Tick(mClock.Now());
+  }
+  Carry(output);
+}
+
+void PlatformCaller::SetFleetSize(std::size_t aInstances)
+{
+  const std::lock_guard lock(mMutex);
+  mBudgeter.SetFleetSize(aInstances);
+}
+
+std::vector<BudgetCount> PlatformCaller::Counts() const
+{
+  const std::lock_guard lock(mMutex);
+  return mBudgeter.Counts();
+}
+
+bool PlatformCaller::IsOutage() const
+{
+  const std::lock_guard lock(mMutex);
+  return mBudgeter.IsOutage();
+}
+
+void PlatformCaller::Carry(const BudgetOutput& aOutput)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    for (const auto& it : aOutput.mSend) {
+      const bool waits = std::holds_alternative<WatchObjects>(it.mOperation);
+      auto& queue = waits ? mWatchQueue : mCallQueue;
+      queue.mCalls.push_back(it);
+      queue.mFilled.notify_one();
+    }
+  }
+  for (const auto& it : aOutput.mRefused) {
+    mOnReply(it);
+  }
+  for (const auto& it : aOutput.mEvents) {
+    mOnEvent(it);
+  }
+}
+
+void PlatformCaller::RunWorker(Queue& aQueue)
+{
+  for (;;) {
+    ObjectCall call;
+    {
+      std::unique_lock lock(mMutex);
+      aQueue.mFilled.wait(lock, [&] { return mStopping || !aQueue.mCalls.empty(); });
+      if (mStopping) {
+        return;
+      }
+      call = std::move(aQueue.mCalls.front());
+      aQueue.mCalls.pop_front();
+    }
+    const auto reply = mApi.Call(call);
+    BudgetOutput output;
+    {
+      const std::lock_guard lock(mMutex);
+      output = mBudgeter.OnReply(reply, mClock.Now());
+    }
+    mOnReply(reply);
+    Carry(output);
+  }
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_platform/objects/PlatformCaller.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "../budget/CallBudgeter.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace skylarkchute {
+
+/** Carries out object calls on threads of its own, through a CallBudgeter. Safe to use from several
+    threads. Waiting watches have their own threads, so they hold up no other call. */
+class PlatformCaller
+{
+public:
+  /** Receives the outcome of each submitted call, once, on any thread. */
+  using ReplyHandler = std::function<void(const ObjectReply&)>;
+  using EventHandler = std::function<void(const LogEvent&)>;
+
+  struct Options
+  {
+    CallBudgeter::Options mBudget;
+    std::size_t mCallThreads = 12;
+    std::size_t mWatchThreads = 4;
+  };
+
+  PlatformCaller(Options aOptions,
+                 ObjectApi& aApi,
+                 const Clock& aClock,
+                 ReplyHandler aOnReply,
+                 EventHandler aOnEvent);
+  ~PlatformCaller();
+
+  /** Takes a call. */
+  void Submit(const ObjectCall& aCall);
+
+  /** Drives the budget. Call every 10 to 100 ms. */
+  void Tick();
+
+  /** @see CallBudgeter::SetFleetSize */
+  void SetFleetSize(std::size_t aInstances);
+
+  /** @see CallBudgeter::Counts */
+  std::vector<BudgetCount> Counts() const;
+
+  /** Returns whether the store counts as down. */
+  bool IsOutage() const;
+
+private:
+  struct Queue
+  {
+    std::deque<ObjectCall> mCalls;
+    std::condition_variable mFilled;
+  };
+
+  void Carry(const BudgetOutput& aOutput);
+  void RunWorker(Queue& aQueue);
+
+  ObjectApi& mApi;
+  const Clock& mClock;
+  ReplyHandler mOnReply;
+  EventHandler mOnEvent;
+  mutable std::mutex mMutex;
+  CallBudgeter mBudgeter;
+  Queue mCallQueue;
+  Queue mWatchQueue;
+  bool mStopping = false;
+  std::vector<std::thread> mThreads;
+};
+
+} // namespace skylarkchute
