JSON-RPC between instances with signed messages

Cause: claims, evidence and usage backups pass between instances, and nobody else may send them. Change: client and server over kept-open POCO connections with libjsonrpccpp encoding, each message signed over sender, receiver, time and body with the shared key. The library's headers need a language level before C++17, so one file is compiled as C++14 behind a plain interface.

--- /dev/null
+++ b/modules/skylarkchute_peers/rpc/JsonRpc.cpp
@@ -0,0 +1,127 @@
+#include "JsonRpc.h"
+
+#include <json/json.h>
+#include <jsonrpccpp/client.h>
+#include <jsonrpccpp/common/procedure.h>
+#include <jsonrpccpp/server/iprocedureinvokationhandler.h>
+#include <jsonrpccpp/server/requesthandlerfactory.h>
+
+#include <stdexcept>
+
+namespace skylarkchute {
+
+namespace {
+
+std::string ToText(const Json::Value& aValue)
+{
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, aValue);
+}
+
+bool FromText(const std::string& aText, Json::Value& aValue)
+{
+  const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+  return reader->parse(aText.data(), aText.data() + aText.size(), &aValue, nullptr);
+}
+
+/** Gives a JsonRpcTransport the library's connector interface. */
+class TransportConnector final : public jsonrpc::IClientConnector
+{
+public:
+  explicit TransportConnector(JsonRpcTransport& aTransport) : mTransport(aTransport) {}
+
+  void SendRPCMessage(const std::string& aMessage,
+                      std::string& aResult) throw(jsonrpc::JsonRpcException) override
+  {
+    try {
+      aResult = mTransport.Exchange(aMessage);
+    } catch (const std::runtime_error& error) {
+      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, error.what());
+    }
+  }
+
+private:
+  JsonRpcTransport& mTransport;
+};
+
+} // namespace
+
+JsonRpcResult CallJsonRpc(JsonRpcTransport& aTransport,
+                          const std::string& aMethod,
+                          const std::string& aParams)
+{
+  JsonRpcResult outcome;
+  Json::Value params;
+  if (!FromText(aParams, params)) {
+    outcome.mError = "params are not JSON";
+    return outcome;
+  }
+  TransportConnector connector(aTransport);
+  jsonrpc::Client client(connector, jsonrpc::JSONRPC_CLIENT_V2);
+  try {
+    outcome.mResult = ToText(client.CallMethod(aMethod, params));
+    outcome.mOk = true;
+  } catch (const jsonrpc::JsonRpcException& error) {
+    outcome.mError = error.GetMessage();
+  }
+  return outcome;
+}
+
+/** Connects the library's request decoder with the handler. */
+class JsonRpcDispatcher::Invocation final : public jsonrpc::IProcedureInvokationHandler
+{
+public:
+  Invocation(const std::vector<std::string>& aMethods, Handler aHandler)
+    : mHandler(std::move(aHandler))
+    , mProtocol(
+        jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2, *this))
+  {
+    for (const auto& it : aMethods) {
+      mProtocol->AddProcedure(
+        jsonrpc::Procedure(it, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, nullptr));
+    }
+  }
+
+  std::string Serve(const std::string& aRequest)
+  {
+    std::string response;
+    mProtocol->HandleRequest(aRequest, response);
+    return response;
+  }
+
+  void HandleMethodCall(jsonrpc::Procedure& aProcedure,
+                        const Json::Value& aInput,
+                        Json::Value& aOutput) override
+  {
+    std::string result;
+    const bool served = mHandler(aProcedure.GetProcedureName(), ToText(aInput), result);
+    if (!served || !FromText(result, aOutput)) {
+      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INTERNAL_ERROR, "not served");
+    }
+  }
+
+  void HandleNotificationCall(jsonrpc::Procedure& aProcedure, const Json::Value& aInput) override
+  {
+    std::string ignored;
+    mHandler(aProcedure.GetProcedureName(), ToText(aInput), ignored);
+  }
+
+private:
+  Handler mHandler;
+  std::unique_ptr<jsonrpc::IProtocolHandler> mProtocol;
+};
+
+JsonRpcDispatcher::JsonRpcDispatcher(const std::vector<std::string>& aMethods, Handler aHandler)
+  : mInvocation(new Invocation(aMethods, std::move(aHandler)))
+{
+}
+
+JsonRpcDispatcher::~JsonRpcDispatcher() = default;
+
+std::string JsonRpcDispatcher::Serve(const std::string& aRequest) const
+{
+  return mInvocation->Serve(aRequest);
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_peers/rpc/PeerServer.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "JsonRpc.h"
+#include "PeerSignature.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Poco::Net {
+class HTTPServer;
+}
+
+namespace Poco {
+class ThreadPool;
+}
+
+namespace skylarkchute {
+
+/** Serves JSON-RPC requests of peers over HTTP. Requests without a valid signature are refused. */
+class PeerServer
+{
+public:
+  /** One signed request of a peer. */
+  struct Request
+  {
+    InstanceId mFrom;
+    std::string mMethod;
+    std::string mParams; /**< JSON object text. */
+  };
+
+  /** Returns the result as JSON object text, or nothing when the request cannot be served. Called
+      on several threads. */
+  using Handler = std::function<std::optional<std::string>(const Request&)>;
+
+  /** Told the sender's claimed name when a signature was refused. */
+  using RefusalHandler = std::function<void(const InstanceId&)>;
+
+  struct Options
+  {
+    InstanceId mSelf;
+    std::string mAddress;    /**< IP number to listen on. */
+    std::uint16_t mPort = 0; /**< Zero takes a free port. */
+    std::string mSharedKey;
+    std::vector<std::string> mMethods;
+    int mMaxThreads = 32;
+  };
+
+  PeerServer(const Options& aOptions,
+             const Clock& aClock,
+             Handler aHandler,
+             RefusalHandler aOnRefused);
+  ~PeerServer();
+
+  /** Returns the port that is served. */
+  std::uint16_t Port() const;
+
+  /** Verifies and serves one message. @returns the answer, or nothing when refused */
+  std::optional<std::string> Serve(const InstanceId& aFrom,
+                                   WallTime aAt,
+                                   const std::string& aSignature,
+                                   const std::string& aBody) const;
+
+private:
+  InstanceId mSelf;
+  const Clock& mClock;
+  PeerSignature mSignature;
+  Handler mHandler;
+  RefusalHandler mOnRefused;
+  std::vector<std::string> mMethods;
+  std::unique_ptr<Poco::ThreadPool> mPool;
+  std::unique_ptr<Poco::Net::HTTPServer> mServer;
+};
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_peers/rpc/PeerSignature.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <skylarkchute_core/skylarkchute_core.h>
+
+#include <string>
+
+namespace skylarkchute {
+
+/** Proves that a message comes from an instance that holds the shared key.
+
+    The signature covers sender, receiver, time and body, so a recorded message can be neither
+    altered, nor sent to another instance, nor sent again after the time window. */
+class PeerSignature
+{
+public:
+  /** How far the sender's clock may be from the receiver's. */
+  static constexpr std::chrono::seconds kTimeWindow{ 120 };
+
+  explicit PeerSignature(std::string aSharedKey);
+
+  /** Returns the hexadecimal signature. */
+  std::string Sign(const InstanceId& aFrom,
+                   const InstanceId& aTo,
+                   WallTime aAt,
+                   const std::string& aBody) const;
+
+  /** Returns whether the signature is right and its time lies within the window. */
+  bool Verify(const InstanceId& aFrom,
+              const InstanceId& aTo,
+              WallTime aAt,
+              WallTime aNow,
+              const std::string& aBody,
+              const std::string& aSignature) const;
+
+private:
+  std::string mSharedKey;
+};
+
+} // namespace skylarkchute
