--- /dev/null
+++ b/modules/skylarkchute_bundles/json/JsonObject.cpp
@@ -0,0 +1,110 @@
+#include "JsonObject.h"
+
+#include <memory>
+
+namespace skylarkchute {
+
+namespace leaf = boost::leaf;
+
+JsonObject::JsonObject(const std::string& aText)
+{
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  std::string errors;
+  try {
+    if (reader->parse(aText.data(), aText.data() + aText.size(), &mValue, &errors) &&
+        mValue.isObject()) {
+      return;
+    }
+  } catch (const Json::Exception&) {
+    // The reader throws when the text is nested too deeply.
+  }
+  mValue = Json::Value(Json::objectValue);
+  Refuse("");
+}
+
+JsonObject::JsonObject(Json::Value aValue) : mValue(std::move(aValue))
+{
+  if (!mValue.isObject()) {
+    mValue = Json::Value(Json::objectValue);
+    Refuse("");
+  }
+}
+
+std::string JsonObject::Text(const char* aMember)
+{
+  if (!mValue[aMember].isString()) {
+    Refuse(aMember);
+    return {};
+  }
+  return mValue[aMember].asString();
+}
+
+std::uint64_t JsonObject::Count(const char* aMember)
+{
+  if (!mValue[aMember].isUInt64()) {
+    Refuse(aMember);
+    return 0;
+  }
+  return mValue[aMember].asUInt64();
+}
+
+double JsonObject::Number(const char* aMember)
+{
+  if (!mValue[aMember].isNumeric()) {
+    Refuse(aMember);
+    return 0;
+  }
+  return mValue[aMember].asDouble();
+}
+
+WallTime JsonObject::Time(const char* aMember)
+{
+  if (!mValue[aMember].isInt64()) {
+    Refuse(aMember);
+    return {};
+  }
+  return WallTime(std::chrono::milliseconds(mValue[aMember].asInt64()));
+}
+
+const Json::Value& JsonObject::Array(const char* aMember)
+{
+  if (!mValue[aMember].isArray()) {
+    Refuse(aMember);
+    mValue[aMember] = Json::Value(Json::arrayValue);
+  }
+  return mValue[aMember];
+}
+
+void JsonObject::Refuse(const std::string& aMember)
+{
+  mRefused.push_back(aMember);
+}
+
+leaf::result<void> JsonObject::Check(const std::string& aObjectName) const
+{
+  if (mRefused.empty()) {
+    return {};
+  }
+  Faults faults;
+  for (const auto& it : mRefused) {
+    faults.mFaults.push_back({ aObjectName, it, "is missing or not valid" });
+  }
+  return leaf::new_error(std::move(faults));
+}
+
+std::string WriteJson(const Json::Value& aValue)
+{
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  builder["emitUTF8"] = true;
+  return Json::writeString(builder, aValue);
+}
+
+Json::Int64 TimeToJson(WallTime aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime.time_since_epoch()).count();
+}
+
+} // namespace skylarkchute
