--- /dev/null
+++ b/app/status/HttpFetch.cpp
@@ -0,0 +1,35 @@
+#include "HttpFetch.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/Timespan.h>
+
+#include <exception>
+
+namespace skylarkchute {
+
+std::optional<std::string> HttpFetch(const SocketPlace& aPlace,
+                                     const std::string& aPath,
+                                     std::chrono::milliseconds aTimeout)
+{
+  try {
+    Poco::Net::HTTPClientSession session(aPlace.mAddress, aPlace.mPort);
+    session.setTimeout(
+      Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(aTimeout).count()));
+    Poco::Net::HTTPRequest request("GET", aPath, Poco::Net::HTTPRequest::HTTP_1_1);
+    session.sendRequest(request);
+    Poco::Net::HTTPResponse response;
+    std::string body;
+    Poco::StreamCopier::copyToString(session.receiveResponse(response), body);
+    if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
+      return std::nullopt;
+    }
+    return body;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_bundles/model/BundleParser.cpp
+++ b/modules/skylarkchute_bundles/model/BundleParser.cpp
@@ -1,8 +1,6 @@
 #include "BundleParser.h"
 
 #include "BundleChecks.h"
-#include "SectionReader.h"
-#include "ValueText.h"
 
 #include <algorithm>
 #include <functional>
--- a/modules/skylarkchute_bundles/model/BundleText.cpp
+++ b/modules/skylarkchute_bundles/model/BundleText.cpp
@@ -1,7 +1,6 @@
 #include "BundleText.h"
 
 #include "../parts/BundleParts.h"
-#include "ValueText.h"
 
 namespace skylarkchute {
 
--- a/modules/skylarkchute_bundles/model/SectionReader.h
+++ b/modules/skylarkchute_core/settings/SectionReader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <skylarkchute_core/skylarkchute_core.h>
+#include "IniDocument.h"
 
 #include <chrono>
 #include <cstdint>
--- /dev/null
+++ b/modules/skylarkchute_core/settings/Settings.cpp
@@ -0,0 +1,284 @@
+#include "Settings.h"
+
+#include "SectionReader.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace skylarkchute {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kHighestPort = 65'535;
+constexpr std::uint32_t kMostConnections = 100'000;
+constexpr std::uint32_t kMostBodyBytes = 64U << 20U;
+constexpr std::uint32_t kMostShards = 1024;
+constexpr double kMostCallsPerSecond = 1e6;
+constexpr milliseconds kLongestPeriod = std::chrono::hours(1);
+constexpr std::size_t kLeastSharedKeyLength = 16;
+constexpr std::string_view kEnvironmentPrefix = "SKYLARKCHUTE_";
+
+bool IsIpNumber(const std::string& aText)
+{
+  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [](unsigned char aCharacter) {
+    return std::isxdigit(aCharacter) != 0 || aCharacter == '.' || aCharacter == ':';
+  });
+}
+
+std::string ReadAddress(SectionReader& aReader)
+{
+  auto address = aReader.ReadText("address", "127.0.0.1");
+  if (!IsIpNumber(address)) {
+    aReader.Refuse("address", "is not an IP number");
+  }
+  return address;
+}
+
+std::uint16_t ReadPort(SectionReader& aReader, const std::string& aKey)
+{
+  return static_cast<std::uint16_t>(aReader.ReadCountIn(aKey, 1, kHighestPort));
+}
+
+std::string ReadName(SectionReader& aReader, const std::string& aKey)
+{
+  auto name = aReader.ReadText(aKey, "");
+  if (name.empty()) {
+    aReader.Refuse(aKey, "is missing");
+  }
+  return name;
+}
+
+Settings::Instance ReadInstance(SectionReader& aReader)
+{
+  Settings::Instance instance;
+  instance.mId = InstanceId(ReadName(aReader, "id"));
+  instance.mZone = ZoneName(ReadName(aReader, "zone"));
+  instance.mAddress = ReadAddress(aReader);
+  instance.mCallerPort = ReadPort(aReader, "caller_port");
+  instance.mPeerPort = ReadPort(aReader, "peer_port");
+  return instance;
+}
+
+Settings::Platform ReadPlatform(SectionReader& aReader)
+{
+  Settings::Platform platform;
+  platform.mAddress = ReadAddress(aReader);
+  platform.mPort = ReadPort(aReader, "port");
+  platform.mFleetWritesPerSecond =
+    aReader.ReadNumberIn("fleet_writes_per_second", 1, kMostCallsPerSecond, 300);
+  platform.mFleetReadsPerSecond =
+    aReader.ReadNumberIn("fleet_reads_per_second", 1, kMostCallsPerSecond, 1500);
+  return platform;
+}
+
+std::string ReadSharedKey(SectionReader& aReader)
+{
+  auto key = aReader.ReadText("shared_key", "");
+  if (key.size() < kLeastSharedKeyLength) {
+    aReader.Refuse("shared_key",
+                   "needs at least " + std::to_string(kLeastSharedKeyLength) + " characters");
+  }
+  return key;
+}
+
+Settings::Callers ReadCallers(SectionReader& aReader)
+{
+  Settings::Callers callers;
+  callers.mMaxConnections = aReader.ReadCountIn("max_connections", 1, kMostConnections, 256);
+  callers.mMaxBodyBytes = aReader.ReadCountIn("max_body_bytes", 1024, kMostBodyBytes, 1U << 20U);
+  callers.mReceiveTimeout =
+    aReader.ReadDurationUpTo("receive_timeout", kLongestPeriod, milliseconds(10'000));
+  callers.mDefaultDeadline =
+    aReader.ReadDurationUpTo("default_deadline", kLongestPeriod, milliseconds(60'000));
+  callers.mCertificateFile = aReader.ReadText("certificate", "");
+  callers.mKeyFile = aReader.ReadText("key", "");
+  if (callers.mCertificateFile.empty() != callers.mKeyFile.empty()) {
+    aReader.Refuse("certificate", "certificate and key go together");
+  }
+  return callers;
+}
+
+Settings::Ledger ReadLedger(SectionReader& aReader)
+{
+  Settings::Ledger ledger;
+  ledger.mShards = aReader.ReadCountIn("shards", 1, kMostShards, 16);
+  ledger.mUsageMaxAge =
+    aReader.ReadDurationUpTo("usage_max_age", kLongestPeriod, milliseconds(5'000));
+  return ledger;
+}
+
+Settings::Routing ReadRouting(SectionReader& aReader)
+{
+  Settings::Routing routing;
+  routing.mLoadPollPeriod =
+    aReader.ReadDurationUpTo("load_poll_period", kLongestPeriod, milliseconds(500));
+  routing.mFreshnessBound =
+    aReader.ReadDurationUpTo("freshness_bound", kLongestPeriod, milliseconds(10'000));
+  return routing;
+}
+
+Settings::Shutdown ReadShutdown(SectionReader& aReader)
+{
+  Settings::Shutdown shutdown;
+  shutdown.mNotReadyPeriod =
+    aReader.ReadDurationUpTo("not_ready_period", kLongestPeriod, milliseconds(1'000));
+  shutdown.mGrace = aReader.ReadDurationUpTo("grace", kLongestPeriod, milliseconds(120'000));
+  return shutdown;
+}
+
+Settings::Log ReadLog(SectionReader& aReader)
+{
+  Settings::Log log;
+  const auto format = aReader.ReadText("format", "text");
+  if (format == "json") {
+    log.mFormat = LogFormat::Json;
+  } else if (format != "text") {
+    aReader.Refuse("format", "is neither text nor json");
+  }
+  const auto level = aReader.ReadText("level", "info");
+  if (level == "debug") {
+    log.mLevel = EventLevel::Debug;
+  } else if (level == "warning") {
+    log.mLevel = EventLevel::Warning;
+  } else if (level == "error") {
+    log.mLevel = EventLevel::Error;
+  } else if (level != "info") {
+    aReader.Refuse("level", "is none of debug, info, warning, error");
+  }
+  return log;
+}
+
+/** Hands out the sections of a document and remembers which were asked for. */
+class SectionTable
+{
+public:
+  SectionTable(const IniDocument& aDocument, const std::vector<SettingOverride>& aOverrides)
+    : mSections(aDocument.Sections())
+  {
+    for (const auto& it : aOverrides) {
+      Override(it);
+    }
+  }
+
+  /** Reads one section with @p aRead; an absent section reads as an empty one. */
+  template<typename Read>
+  auto ReadWith(const std::string& aName, Read aRead)
+  {
+    mKnown.push_back(aName);
+    SectionReader reader(SectionNamed(aName), mFaults);
+    auto value = aRead(reader);
+    reader.Finish();
+    return value;
+  }
+
+  /** Returns every fault, unknown sections included. */
+  std::vector<Fault> Finish()
+  {
+    for (const auto& it : mSections) {
+      if (std::find(mKnown.begin(), mKnown.end(), it.mName) == mKnown.end()) {
+        mFaults.push_back({ it.mName, "", "unknown section" });
+      }
+    }
+    return mFaults;
+  }
+
+private:
+  IniSection& SectionNamed(const std::string& aName)
+  {
+    const auto it =
+      std::find_if(mSections.begin(), mSections.end(), [&](const IniSection& aSection) {
+        return aSection.mName == aName;
+      });
+    if (it != mSections.end()) {
+      return *it;
+    }
+    mSections.push_back({ aName, {} });
+    return mSections.back();
+  }
+
+  void Override(const SettingOverride& aOverride)
+  {
+    auto& entries = SectionNamed(aOverride.mSection).mEntries;
+    const auto it = std::find_if(entries.begin(), entries.end(), [&](const IniEntry& aEntry) {
+      return aEntry.mKey == aOverride.mKey;
+    });
+    if (it != entries.end()) {
+      it->mValue = aOverride.mValue;
+    } else {
+      entries.push_back({ aOverride.mKey, aOverride.mValue });
+    }
+  }
+
+  std::vector<IniSection> mSections;
+  std::vector<std::string> mKnown;
+  std::vector<Fault> mFaults;
+};
+
+std::string LowerCase(std::string aText)
+{
+  std::transform(aText.begin(), aText.end(), aText.begin(), [](unsigned char aCharacter) {
+    return static_cast<char>(std::tolower(aCharacter));
+  });
+  return aText;
+}
+
+} // namespace
+
+leaf::result<Settings> ParseSettings(const IniDocument& aDocument,
+                                     const std::vector<SettingOverride>& aOverrides)
+{
+  SectionTable table(aDocument, aOverrides);
+  Settings settings;
+  settings.mInstance = table.ReadWith("instance", ReadInstance);
+  settings.mPlatform = table.ReadWith("platform", ReadPlatform);
+  settings.mPeerSharedKey = table.ReadWith("peers", ReadSharedKey);
+  settings.mCallers = table.ReadWith("callers", ReadCallers);
+  settings.mLedger = table.ReadWith("ledger", ReadLedger);
+  settings.mRouting = table.ReadWith("routing", ReadRouting);
+  settings.mShutdown = table.ReadWith("shutdown", ReadShutdown);
+  settings.mLog = table.ReadWith("log", ReadLog);
+  const auto faults = table.Finish();
+  if (!faults.empty()) {
+    return leaf::new_error(Faults{ faults });
+  }
+  return settings;
+}
+
+leaf::result<SettingOverride> ParseOverride(const std::string& aText)
+{
+  const auto dot = aText.find('.');
+  const auto equals = aText.find('=');
+  if (dot == std::string::npos || equals == std::string::npos || equals < dot) {
+    return leaf::new_error(Faults{ { { "", aText, "is not SECTION.KEY=VALUE" } } });
+  }
+  return SettingOverride{ aText.substr(0, dot),
+                          aText.substr(dot + 1, equals - dot - 1),
+                          aText.substr(equals + 1) };
+}
+
+std::vector<SettingOverride> EnvironmentOverrides(const char* const* aEnvironment)
+{
+  std::vector<SettingOverride> overrides;
+  for (auto it = aEnvironment; it != nullptr && *it != nullptr; ++it) {
+    const std::string_view entry(*it);
+    const auto equals = entry.find('=');
+    if (entry.rfind(kEnvironmentPrefix, 0) != 0 || equals == std::string_view::npos) {
+      continue;
+    }
+    const auto name = entry.substr(kEnvironmentPrefix.size(), equals - kEnvironmentPrefix.size());
+    const auto split = name.find('_');
+    if (split == std::string_view::npos) {
+      continue;
+    }
+    overrides.push_back({ LowerCase(std::string(name.substr(0, split))),
+                          LowerCase(std::string(name.substr(split + 1))),
+                          std::string(entry.substr(equals + 1)) });
+  }
+  return overrides;
+}
+
+} // namespace skylarkchute
