Bundle follower: one waiting watch, parts from peers, confirmation

Cause: an accepted bundle must be in force on every instance within seconds, also while an instance or the whole fleet has lost the store. Change: BundleFollower with HeadWatch, PartFetcher, PartCache and GenerationConfirmation; messages between peers with their JSON codec; a fleet of followers before the fake store for tests. Conclusion: a follower never goes down in generation; a cut-off region needs confirmation, a store that is down for all stops nobody.

--- /dev/null
+++ b/modules/skylarkchute_bundles/follower/FollowerOutput.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "PeerMessages.h"
+
+#include <vector>
+
+namespace skylarkchute {
+
+/** What a BundleFollower wants done after an input. */
+struct FollowerOutput
+{
+  std::vector<ObjectCall> mCalls;
+  std::vector<PeerPartsRequest> mPeerRequests;
+  bool mBundleChanged = false; /**< Current() returns another bundle than before. */
+  std::vector<LogEvent> mEvents;
+};
+
+/** One live entry instance of the fleet. */
+struct FleetMember
+{
+  InstanceId mId;
+  ZoneName mZone;
+  friend bool operator==(const FleetMember&, const FleetMember&) = default;
+};
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_bundles/follower/PartFetcher.cpp
@@ -0,0 +1,218 @@
+#include "PartFetcher.h"
+
+#include "../events/BundleEvents.h"
+#include "../lifecycle/ObjectKeys.h"
+
+#include <algorithm>
+
+namespace skylarkchute {
+
+namespace {
+
+/** How often the zone's reader is asked before the platform. */
+constexpr std::uint32_t kOwnerTries = 6;
+constexpr std::chrono::milliseconds kOwnerRetryDelay{ 100 };
+/** Parts read from the platform at once. */
+constexpr std::size_t kMostPartCalls = 16;
+constexpr std::size_t kMostPeersAsked = 8;
+/** The driver's own time limit comes first; this one covers a reply that never comes. */
+constexpr int kDeadlineFactor = 2;
+
+} // namespace
+
+PartFetcher::PartFetcher(const FollowerOptions& aOptions, PartCache& aCache)
+  : mOptions(aOptions)
+  , mCache(aCache)
+  , mDelay(aOptions.mRetryLeast, aOptions.mRetryMost, aOptions.mSeed + 1)
+{
+}
+
+void PartFetcher::ApplyFleet(const std::vector<FleetMember>& aFleet)
+{
+  mFleet = aFleet;
+}
+
+void PartFetcher::Begin(const BundleHead& aHead, TimePoint aNow)
+{
+  Stop();
+  mHead = aHead;
+  mAttempt = 0;
+  mNextAt = aNow;
+  mDelay.Reset();
+  std::vector<InstanceId> zone{ mOptions.mSelf };
+  std::vector<InstanceId> others;
+  for (const auto& it : mFleet) {
+    if (it.mId == mOptions.mSelf) {
+      continue;
+    }
+    others.push_back(it.mId);
+    if (it.mZone == mOptions.mZone) {
+      zone.push_back(it.mId);
+    }
+  }
+  mZoneOrder = RendezvousOrder(aHead.mBundle.Value(), zone, kMostPeersAsked);
+  mFleetOrder =
+    RendezvousOrder(aHead.mBundle.Value() + mOptions.mSelf.Value(), others, kMostPeersAsked);
+}
+
+void PartFetcher::Stop()
+{
+  mHead.reset();
+  mCalls.clear();
+  mPeerRequest.reset();
+  mRoundOpen = false;
+}
+
+bool PartFetcher::AsksOwner() const
+{
+  return mAttempt < kOwnerTries && mZoneOrder.front() != mOptions.mSelf;
+}
+
+std::optional<InstanceId> PartFetcher::PeerToAsk() const
+{
+  if (AsksOwner()) {
+    return mZoneOrder.front();
+  }
+  if (mAttempt % 2 == 0 || mFleetOrder.empty()) {
+    return std::nullopt;
+  }
+  return mFleetOrder[(mAttempt / 2) % mFleetOrder.size()];
+}
+
+void PartFetcher::Poll(std::uint64_t& aNextId, TimePoint aNow, FollowerOutput& aOutput)
+{
+  if (!mHead) {
+    return;
+  }
+  if (mRoundOpen && aNow >= mDeadline) {
+    EndRound(aNow);
+  }
+  if (mRoundOpen || aNow < mNextAt) {
+    return;
+  }
+  const auto missing = mCache.MissingOf(*mHead);
+  if (missing.empty()) {
+    return;
+  }
+  mRoundOpen = true;
+  mDeadline = aNow + mOptions.mCallTimeout * kDeadlineFactor;
+  const auto peer = PeerToAsk();
+  if (peer) {
+    AskPeer(*peer, aNextId, aOutput);
+    return;
+  }
+  AskPlatform(missing, aNextId, aOutput);
+}
+
+void PartFetcher::AskPeer(const InstanceId& aPeer, std::uint64_t& aNextId, FollowerOutput& aOutput)
+{
+  PeerPartsRequest request;
+  request.mId = aNextId++;
+  request.mTo = aPeer;
+  request.mKnownGeneration = mHead->mGeneration;
+  request.mHashes = mCache.MissingOf(*mHead);
+  mPeerRequest = request.mId;
+  aOutput.mPeerRequests.push_back(std::move(request));
+}
+
+void PartFetcher::AskPlatform(const std::vector<std::string>& aMissing,
+                              std::uint64_t& aNextId,
+                              FollowerOutput& aOutput)
+{
+  const auto count = std::min(aMissing.size(), kMostPartCalls);
+  for (std::size_t n = 0; n < count; ++n) {
+    ObjectCall call;
+    call.mId = aNextId++;
+    call.mPurpose = CallPurpose::Bundle;
+    call.mTimeout = mOptions.mCallTimeout;
+    call.mOperation = GetObject{ PartKey(aMissing[n]) };
+    mCalls.push_back({ call.mId, aMissing[n] });
+    aOutput.mCalls.push_back(std::move(call));
+  }
+}
+
+bool PartFetcher::OnReply(const ObjectReply& aReply, TimePoint aNow, FollowerOutput& aOutput)
+{
+  const auto it = std::find_if(
+    mCalls.begin(), mCalls.end(), [&](const PartCall& aCall) { return aCall.mId == aReply.mId; });
+  if (it == mCalls.end()) {
+    return false;
+  }
+  const auto hash = it->mHash;
+  mCalls.erase(it);
+  const auto good =
+    aReply.mStatus == ObjectStatus::Ok && Accept({ "", hash, aReply.mBody }, "platform", aOutput);
+  if (!mCalls.empty()) {
+    return true;
+  }
+  if (good) {
+    // More parts may be missing than one round reads.
+    mRoundOpen = false;
+    mNextAt = aNow;
+    return true;
+  }
+  EndRound(aNow);
+  return true;
+}
+
+bool PartFetcher::OnAnswer(const PeerPartsAnswer& aAnswer, TimePoint aNow, FollowerOutput& aOutput)
+{
+  if (mPeerRequest != aAnswer.mId) {
+    return false;
+  }
+  mPeerRequest.reset();
+  const auto fromOwner = AsksOwner();
+  bool damaged = false;
+  const auto missing = mCache.MissingOf(*mHead);
+  for (const auto& it : aAnswer.mParts) {
+    if (std::find(missing.begin(), missing.end(), it.mHash) == missing.end()) {
+      continue;
+    }
+    damaged = !Accept(it, aAnswer.mHead.mFrom.Value(), aOutput) || damaged;
+  }
+  EndRound(aNow);
+  if (damaged) {
+    SkipOwner();
+  } else if (fromOwner) {
+    mDelay.Reset();
+    mNextAt = aNow + kOwnerRetryDelay;
+  }
+  return true;
+}
+
+void PartFetcher::OnPeerFailure(std::uint64_t aId, TimePoint aNow)
+{
+  if (mPeerRequest != aId) {
+    return;
+  }
+  mPeerRequest.reset();
+  EndRound(aNow);
+  SkipOwner();
+}
+
+bool PartFetcher::Accept(const BundlePart& aPart,
+                         const std::string& aSource,
+                         FollowerOutput& aOutput)
+{
+  if (mCache.Add(aPart)) {
+    return true;
+  }
+  aOutput.mEvents.push_back({ &kPartDamaged, { { "hash", aPart.mHash }, { "source", aSource } } });
+  return false;
+}
+
+void PartFetcher::EndRound(TimePoint aNow)
+{
+  mRoundOpen = false;
+  mCalls.clear();
+  mPeerRequest.reset();
+  ++mAttempt;
+  mNextAt = aNow + mDelay.NextAfterFailure();
+}
+
+void PartFetcher::SkipOwner()
+{
+  mAttempt = std::max(mAttempt, kOwnerTries);
+}
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_bundles/skylarkchute_bundles.h
+++ b/modules/skylarkchute_bundles/skylarkchute_bundles.h
@@ -7,6 +7,7 @@
 #include "evidence/RoutingAlert.h"
 #include "evidence/TeamLimits.h"
 #include "evidence/VersionEvidence.h"
+#include "follower/BundleFollower.h"
 #include "identifiers/BundleIdentifiers.h"
 #include "lifecycle/ObjectKeys.h"
 #include "model/Bundle.h"
--- a/tests/support/FakeObjectStore.h
+++ b/tests/support/FakeObjectStore.h
@@ -101,6 +101,17 @@
   /** Writes an object unconditionally, as a platform restored from a backup might. Not counted. */
   void Overwrite(const std::string& aKey, const std::string& aBody) { Store(aKey, aBody); }
 
+  /** Returns whether something below the prefix was written after the position. Not counted. */
+  bool HasChanged(const std::string& aPrefix, std::uint64_t aAfter) const
+  {
+    return std::any_of(mObjects.begin(), mObjects.end(), [&](const auto& aEntry) {
+      return aEntry.second.mPosition > aAfter && aEntry.first.rfind(aPrefix, 0) == 0;
+    });
+  }
+
+  /** Returns whether every call is refused. */
+  bool IsInOutage() const { return mOutage; }
+
   /** Removes an object. Not counted. */
   void Remove(const std::string& aKey) { mObjects.erase(aKey); }
 
