A router that admits, chooses, queues, dispatches and retries

Change: tables for requests, endpoints, versions, pools, teams and classes; systems for admission, limits, version choice, endpoint choice, queueing, attempts, retries and hedges; the router only delegates. RouterOptions gains the instance, the start share and sizes. MayCarryOut and Counters are new, RequestFacts::mStartsSession keeps a first request of a session on its version.

--- a/modules/skylarkchute_routing/Router.h
+++ b/modules/skylarkchute_routing/Router.h
@@ -2,42 +2,24 @@
 
 #include "requests/AttemptOutcome.h"
 #include "requests/RequestFacts.h"
+#include "requests/RouterOptions.h"
 #include "requests/RouterStep.h"
 #include "tables/EndpointRecord.h"
+#include "tables/RouterCounters.h"
+#include "tables/RouterReports.h"
 
 #include <map>
 #include <memory>
 
 namespace skylarkchute {
 
-/** An answer that the rating service should rate. */
-struct RatingWish
-{
-  RequestId mRequest;
-  AttemptId mAttempt;
-  VersionId mVersion;
-};
-
-/** What a router has to tell its node besides steps; emptied by the read. */
-struct RouterReports
-{
-  std::vector<VersionEvidence> mEvidence;
-  std::vector<RoutingAlert> mAlerts;
-  std::vector<RatingWish> mRatingWishes;
-  std::vector<LogEvent> mEvents;
-};
-
 /** Routes the requests of one instance.
 
     Free of I/O, threads and clocks: each call carries the time. One thread owns it. */
 class Router
 {
 public:
-  struct Options
-  {
-    ZoneName mZone;
-    std::uint64_t mSeed = 0;
-  };
+  using Options = RouterOptions;
 
   explicit Router(Options aOptions);
   ~Router();
@@ -107,6 +89,14 @@
   /** Returns and empties what the router has to report. */
   RouterReports TakeReports(TimePoint aNow);
 
+  /** Returns whether a dispatch step that waits to be carried out may still be carried out: its
+      version is still allowed and its endpoint takes new work. Ask right before sending; when
+      false, call WithdrawAttempt and answer `not-run`. */
+  bool MayCarryOut(const RequestId& aRequest, const AttemptId& aAttempt) const;
+
+  /** Returns the counters since start. */
+  const RouterCounters& Counters() const;
+
   /** Returns the demand of each team over the last window. */
   std::vector<TeamDemand> Demand(TimePoint aNow) const;
 
--- /dev/null
+++ b/modules/skylarkchute_routing/events/RoutingEvents.cpp
@@ -0,0 +1,10 @@
+#include "RoutingEvents.h"
+
+namespace skylarkchute {
+
+std::vector<const EventDescription*> RoutingEvents()
+{
+  return { &kVersionStopped, &kBreakerOpened, &kEndpointCrashed, &kFingerprintQuarantined };
+}
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_routing/requests/RequestFacts.h
+++ b/modules/skylarkchute_routing/requests/RequestFacts.h
@@ -21,7 +21,9 @@
   bool mDeclaredNonIdempotent = false;
   bool mStream = false;
   std::optional<VersionId> mPinnedVersion; /**< From a session token or register. */
-  std::string mPrefixHash;                 /**< Of the prompt's start, for prefix-cache affinity. */
+  /** First request of a session: it stays on the version of its first dispatch step. */
+  bool mStartsSession = false;
+  std::string mPrefixHash; /**< Of the prompt's start, for prefix-cache affinity. */
   Fingerprint mFingerprint;
   std::uint32_t mPromptTokens = 0; /**< Estimated from the body's length. */
   std::uint32_t mMaxTokens = 0;
--- a/modules/skylarkchute_routing/skylarkchute_routing.h
+++ b/modules/skylarkchute_routing/skylarkchute_routing.h
@@ -3,7 +3,11 @@
 /** Admission, limits, version and endpoint choice, retries, breakers: the routing decisions. */
 
 #include "Router.h"
+#include "events/RoutingEvents.h"
 #include "requests/AttemptOutcome.h"
 #include "requests/RequestFacts.h"
+#include "requests/RouterOptions.h"
 #include "requests/RouterStep.h"
 #include "tables/EndpointRecord.h"
+#include "tables/RouterCounters.h"
+#include "tables/RouterReports.h"
--- /dev/null
+++ b/modules/skylarkchute_routing/systems/AttemptSystem.cpp
@@ -0,0 +1,161 @@
+#include "AttemptSystem.h"
+
+#include "../events/RoutingEvents.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace skylarkchute {
+
+namespace {
+
+constexpr std::size_t kMostTried = 4;
+constexpr std::chrono::milliseconds kFullPause{ 100 };
+
+std::string LabelOf(const RouterTables& aTables, const std::optional<VersionId>& aVersion)
+{
+  const auto* row = aVersion ? aTables.mVersions.Find(*aVersion) : nullptr;
+  return row == nullptr ? std::string() : row->mVersion.mLabel;
+}
+
+void CountAttempt(RouterCounters& aCounters, AttemptKind aKind)
+{
+  ++aCounters.mAttempts;
+  aCounters.mRetries += aKind == AttemptKind::Retry ? 1 : 0;
+  aCounters.mHedges += aKind == AttemptKind::Hedge ? 1 : 0;
+  aCounters.mEscalations += aKind == AttemptKind::Escalation ? 1 : 0;
+}
+
+} // namespace
+
+DispatchStep AttemptSystem::Open(RequestRow& aRow,
+                                 EndpointRow& aEndpoint,
+                                 AttemptKind aKind,
+                                 TimePoint aNow)
+{
+  assert(aRow.mLive.empty() || aKind == AttemptKind::Hedge);
+  const auto number = std::to_string(++aRow.mAttempts);
+  const auto& record = aEndpoint.mRecord;
+  AttemptRow attempt;
+  attempt.mId = AttemptId(aRow.mFacts.mId.Value() + "." + number);
+  attempt.mEndpoint = record.mId;
+  attempt.mVersion = aRow.mVersion;
+  attempt.mStarted = aNow;
+  attempt.mHedge = aKind == AttemptKind::Hedge;
+  aRow.mLive.push_back(attempt);
+  aRow.mPhase = RequestPhase::Running;
+  if (aRow.mTried.size() >= kMostTried) {
+    aRow.mTried.erase(aRow.mTried.begin());
+  }
+  aRow.mTried.push_back(record.mId);
+  ++aEndpoint.mInFlight;
+  aEndpoint.mBreaker.OnDispatch(aNow);
+  CountAttempt(mTables.mCounters, aKind);
+  if (record.mZone != mTables.mOptions.mZone) {
+    ++mTables.mCounters.mZoneSpills;
+  }
+
+  DispatchStep step;
+  step.mRequest = aRow.mFacts.mId;
+  step.mAttempt = attempt.mId;
+  step.mEndpoint = record.mId;
+  step.mAddress = record.mAddress;
+  step.mPort = record.mPort;
+  step.mVersion = aRow.mVersion;
+  step.mLabel = LabelOf(mTables, aRow.mVersion);
+  step.mTimeout =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aRow.mFacts.mDeadline - aNow);
+  step.mHedge = attempt.mHedge;
+  step.mEscalation = aKind == AttemptKind::Escalation;
+  return step;
+}
+
+void AttemptSystem::Close(RequestRow& aRow,
+                          const AttemptId& aAttempt,
+                          const AttemptOutcome& aOutcome,
+                          TimePoint aNow)
+{
+  const auto* attempt = aRow.FindAttempt(aAttempt);
+  assert(attempt != nullptr);
+  auto* endpoint = mTables.mEndpoints.Find(attempt->mEndpoint);
+  const auto zone = endpoint == nullptr ? ZoneName() : endpoint->mRecord.mZone;
+  mEvidence.OnAttemptEnd(aRow, *attempt, zone, aOutcome, aNow);
+  if (endpoint != nullptr) {
+    RecordAtEndpoint(aRow, *endpoint, aOutcome, aNow);
+  }
+  if (aOutcome.mVerdict != Verdict::NotRun) {
+    mTables.mPools.Get(aRow.mPool).mDrain.Add(1, aNow);
+  }
+  aRow.mWorstVerdict = WorseVerdict(aRow.mWorstVerdict, aOutcome.mVerdict);
+  std::erase_if(aRow.mLive, [&](const AttemptRow& aIt) { return aIt.mId == aAttempt; });
+}
+
+void AttemptSystem::Release(RequestRow& aRow, const AttemptId& aAttempt)
+{
+  const auto* attempt = aRow.FindAttempt(aAttempt);
+  assert(attempt != nullptr);
+  if (auto* endpoint = mTables.mEndpoints.Find(attempt->mEndpoint)) {
+    endpoint->mInFlight -= endpoint->mInFlight > 0 ? 1 : 0;
+    endpoint->mBreaker.OnNeutral();
+  }
+  std::erase_if(aRow.mLive, [&](const AttemptRow& aIt) { return aIt.mId == aAttempt; });
+}
+
+void AttemptSystem::RecordAtEndpoint(const RequestRow& aRow,
+                                     EndpointRow& aEndpoint,
+                                     const AttemptOutcome& aOutcome,
+                                     TimePoint aNow)
+{
+  aEndpoint.mInFlight -= aEndpoint.mInFlight > 0 ? 1 : 0;
+  if (aOutcome.mEnd == AttemptEnd::Complete) {
+    RecordComplete(aRow, aEndpoint, aOutcome, aNow);
+    return;
+  }
+  if (RecordFailure(aEndpoint, aOutcome, aNow)) {
+    ++mTables.mCounters.mBreakersOpened;
+    mTables.mReports.mEvents.push_back(
+      { &kBreakerOpened, { { "endpoint", aEndpoint.mRecord.mId.Value() } } });
+  }
+}
+
+void AttemptSystem::RecordComplete(const RequestRow& aRow,
+                                   EndpointRow& aEndpoint,
+                                   const AttemptOutcome& aOutcome,
+                                   TimePoint aNow)
+{
+  aEndpoint.mBreaker.OnSuccess();
+  auto& latency = mTables.mPools.Get(aRow.mPool).mLatency[aRow.mFacts.mClass];
+  const auto expected = latency.Mean(aNow);
+  if (expected.count() > 0) {
+    aEndpoint.RecordSlowness(
+      static_cast<double>(aOutcome.mLatency.count()) / static_cast<double>(expected.count()), aNow);
+  }
+  latency.Record(aOutcome.mLatency, aNow);
+}
+
+bool AttemptSystem::RecordFailure(EndpointRow& aEndpoint,
+                                  const AttemptOutcome& aOutcome,
+                                  TimePoint aNow)
+{
+  const double jitter = mTables.Draw();
+  switch (aOutcome.mEnd) {
+    case AttemptEnd::ConnectFailed:
+    case AttemptEnd::Broken:
+      return aEndpoint.mBreaker.OnUnreachable(aNow, jitter);
+    case AttemptEnd::Failed:
+    case AttemptEnd::TimedOut:
+      return aEndpoint.mBreaker.OnFailure(aNow, jitter);
+    case AttemptEnd::Refused:
+      aEndpoint.mFullUntil = aNow + kFullPause;
+      aEndpoint.mBreaker.OnNeutral();
+      return false;
+    case AttemptEnd::Complete:
+    case AttemptEnd::Rejected:
+    case AttemptEnd::Cancelled:
+      aEndpoint.mBreaker.OnNeutral();
+      return false;
+  }
+  return false;
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_routing/systems/EvidenceSystem.cpp
@@ -0,0 +1,94 @@
+#include "EvidenceSystem.h"
+
+#include "../events/RoutingEvents.h"
+
+namespace skylarkchute {
+
+namespace {
+
+/** Least rating that counts as good. */
+constexpr double kGoodRating = 0.5;
+
+bool IsError(AttemptEnd aEnd)
+{
+  return aEnd == AttemptEnd::Failed || aEnd == AttemptEnd::Broken;
+}
+
+} // namespace
+
+void EvidenceSystem::OnAttemptEnd(const RequestRow& aRow,
+                                  const AttemptRow& aAttempt,
+                                  const ZoneName& aZone,
+                                  const AttemptOutcome& aOutcome,
+                                  TimePoint /*aNow*/)
+{
+  if (!aAttempt.mVersion) {
+    return;
+  }
+  const bool counts = aOutcome.mEnd == AttemptEnd::Complete || IsError(aOutcome.mEnd) ||
+                      aOutcome.mEnd == AttemptEnd::TimedOut;
+  if (!counts) {
+    return;
+  }
+  auto& evidence = Count({ *aAttempt.mVersion, aRow.mFacts.mClass, aRow.mTeam, aZone });
+  ++evidence.mRequests;
+  if (IsError(aOutcome.mEnd)) {
+    ++evidence.mErrors;
+  }
+  if (aOutcome.mEnd == AttemptEnd::TimedOut) {
+    ++evidence.mTimeouts;
+  }
+  if (aOutcome.mEnd == AttemptEnd::Complete) {
+    evidence.mLatencySum += aOutcome.mLatency;
+  }
+}
+
+void EvidenceSystem::OnRating(const VersionId& aVersion,
+                              const ClassName& aClass,
+                              const TeamName& aTeam,
+                              double aRating,
+                              TimePoint /*aNow*/)
+{
+  auto& evidence = Count({ aVersion, aClass, aTeam, ZoneName() });
+  ++evidence.mRated;
+  if (aRating >= kGoodRating) {
+    ++evidence.mRatedGood;
+  }
+}
+
+void EvidenceSystem::Stop(const VersionId& aVersion, const std::string& aReason, bool aTellPeers)
+{
+  if (!mTables.mVersions.Stop(aVersion)) {
+    return;
+  }
+  mTables.mVersionsChanged = true;
+  ++mTables.mCounters.mVersionsStopped;
+  mTables.mReports.mEvents.push_back(
+    { &kVersionStopped, { { "version", aVersion.Value() }, { "reason", aReason } } });
+  if (aTellPeers) {
+    mTables.mReports.mAlerts.push_back({ aVersion, std::nullopt, 0, aReason });
+  }
+}
+
+std::vector<VersionEvidence> EvidenceSystem::Take()
+{
+  std::vector<VersionEvidence> evidence;
+  evidence.reserve(mCounts.size());
+  for (const auto& it : mCounts) {
+    evidence.push_back(it.second);
+  }
+  mCounts.clear();
+  return evidence;
+}
+
+VersionEvidence& EvidenceSystem::Count(const Key& aKey)
+{
+  auto& evidence = mCounts[aKey];
+  evidence.mVersion = aKey.mVersion;
+  evidence.mClass = aKey.mClass;
+  evidence.mTeam = aKey.mTeam;
+  evidence.mZone = aKey.mZone;
+  return evidence;
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_routing/systems/LimitSystem.cpp
@@ -0,0 +1,161 @@
+#include "LimitSystem.h"
+
+#include "Refusals.h"
+
+#include <cmath>
+
+namespace skylarkchute {
+
+namespace {
+
+constexpr std::chrono::seconds kDemandWindow{ 1 };
+
+double EstimatedTokens(const RequestFacts& aFacts)
+{
+  return static_cast<double>(aFacts.mPromptTokens) + aFacts.mMaxTokens;
+}
+
+double SecondsSince(TimePoint aThen, TimePoint aNow)
+{
+  return std::chrono::duration<double>(aNow - aThen).count();
+}
+
+} // namespace
+
+void LimitSystem::ApplyBundle(TimePoint aNow)
+{
+  std::erase_if(mTables.mTeams.All(), [&](const auto& aItem) {
+    return mTables.mBundle->FindTeam(aItem.first) == nullptr && aItem.second.mInFlight == 0;
+  });
+  for (const auto& it : mTables.mBundle->mTeams) {
+    SetRates(it, mTables.mTeams.Get(it.mName), aNow);
+  }
+}
+
+void LimitSystem::ApplyShares(const std::vector<LimitShare>& aShares, TimePoint aNow)
+{
+  for (const auto& it : aShares) {
+    const auto* team = mTables.mBundle->FindTeam(it.mTeam);
+    if (team == nullptr) {
+      continue;
+    }
+    auto& row = mTables.mTeams.Get(it.mTeam);
+    row.mHasShare = true;
+    row.mShare = it;
+    SetRates(*team, row, aNow);
+  }
+}
+
+std::optional<RefuseStep> LimitSystem::Take(RequestRow& aRow, TimePoint aNow)
+{
+  const auto* team = mTables.mBundle->FindTeam(aRow.mTeam);
+  auto& row = mTables.mTeams.Get(aRow.mTeam);
+  const double tokens = EstimatedTokens(aRow.mFacts);
+  row.mCurrent.mRequests += 1;
+  row.mCurrent.mTokens += tokens;
+  if (team->mConcurrency > 0 && row.mInFlight >= ConcurrencyShare(*team, row)) {
+    return NotRunRefusal(aRow.mFacts.mId,
+                         429,
+                         refusal::kTeamConcurrency,
+                         "The team has too many requests under way.",
+                         std::chrono::seconds(1));
+  }
+  const bool limitsRequests = team->mRequestsPerSecond > 0;
+  const bool limitsTokens = team->mTokensPerSecond > 0;
+  if (limitsRequests && !row.mRequests.Has(1, aNow)) {
+    return NotRunRefusal(aRow.mFacts.mId,
+                         429,
+                         refusal::kTeamLimit,
+                         "The team is over its limit of requests a second.",
+                         row.mRequests.Wait(1));
+  }
+  if (limitsTokens && !row.mTokens.Has(tokens, aNow)) {
+    return NotRunRefusal(aRow.mFacts.mId,
+                         429,
+                         refusal::kTeamLimit,
+                         "The team is over its limit of tokens a second.",
+                         row.mTokens.Wait(tokens));
+  }
+  row.mRequests.Take(1);
+  row.mTokens.Take(tokens);
+  ++row.mInFlight;
+  aRow.mReservedTokens = tokens;
+  return std::nullopt;
+}
+
+void LimitSystem::Refund(RequestRow& aRow)
+{
+  auto& row = mTables.mTeams.Get(aRow.mTeam);
+  row.mRequests.Give(1);
+  row.mTokens.Give(aRow.mReservedTokens);
+  aRow.mReservedTokens = 0;
+}
+
+void LimitSystem::Settle(RequestRow& aRow, const AttemptOutcome& aOutcome)
+{
+  if (aOutcome.mEnd != AttemptEnd::Complete) {
+    return;
+  }
+  const double used = static_cast<double>(aOutcome.mPromptTokens) + aOutcome.mCompletionTokens;
+  auto& row = mTables.mTeams.Get(aRow.mTeam);
+  row.mTokens.Take(used - aRow.mReservedTokens);
+  aRow.mReservedTokens = used;
+}
+
+void LimitSystem::Leave(const RequestRow& aRow)
+{
+  auto& row = mTables.mTeams.Get(aRow.mTeam);
+  if (row.mInFlight > 0) {
+    --row.mInFlight;
+  }
+}
+
+void LimitSystem::Tick(TimePoint aNow)
+{
+  for (auto& it : mTables.mTeams.All()) {
+    auto& row = it.second;
+    if (row.mCurrent.mSince == TimePoint{}) {
+      row.mCurrent.mSince = aNow;
+      continue;
+    }
+    if (aNow - row.mCurrent.mSince < kDemandWindow) {
+      continue;
+    }
+    row.mLast = row.mCurrent;
+    row.mLastSeconds = SecondsSince(row.mCurrent.mSince, aNow);
+    row.mCurrent = { aNow, 0, 0 };
+  }
+}
+
+std::vector<TeamDemand> LimitSystem::Demand(TimePoint /*aNow*/) const
+{
+  std::vector<TeamDemand> demand;
+  for (const auto& it : mTables.mTeams.All()) {
+    const auto& row = it.second;
+    const double seconds = row.mLastSeconds > 0 ? row.mLastSeconds : 1;
+    demand.push_back({ it.first, row.mLast.mRequests / seconds, row.mLast.mTokens / seconds });
+  }
+  return demand;
+}
+
+void LimitSystem::SetRates(const Team& aTeam, TeamRow& aRow, TimePoint aNow) const
+{
+  const double start = mTables.mOptions.mStartShare;
+  const double requests =
+    aRow.mHasShare ? aRow.mShare.mRequestsPerSecond : start * aTeam.mRequestsPerSecond;
+  const double tokens =
+    aRow.mHasShare ? aRow.mShare.mTokensPerSecond : start * aTeam.mTokensPerSecond;
+  aRow.mRequests.SetRate(std::min(requests, aTeam.mRequestsPerSecond), aNow);
+  aRow.mTokens.SetRate(std::min(tokens, aTeam.mTokensPerSecond), aNow);
+}
+
+double LimitSystem::ConcurrencyShare(const Team& aTeam, const TeamRow& aRow) const
+{
+  double share = mTables.mOptions.mStartShare;
+  if (aRow.mHasShare && aTeam.mRequestsPerSecond > 0) {
+    share = aRow.mShare.mRequestsPerSecond / aTeam.mRequestsPerSecond;
+  }
+  return std::ceil(std::min(1.0, share) * aTeam.mConcurrency);
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_routing/systems/RequestFlow.cpp
@@ -0,0 +1,413 @@
+#include "RequestFlow.h"
+
+#include "Refusals.h"
+
+#include <cassert>
+
+namespace skylarkchute {
+
+namespace {
+
+constexpr std::chrono::milliseconds kShedPeriod{ 25 };
+constexpr double kHedgeQuantile = 0.95;
+
+} // namespace
+
+RequestFlow::RequestFlow(RouterTables& aTables,
+                         EvidenceSystem& aEvidence,
+                         LimitSystem& aLimits,
+                         PoolSystem& aPools)
+  : mTables(aTables)
+  , mEvidence(aEvidence)
+  , mLimits(aLimits)
+  , mPools(aPools)
+  , mAdmission(aTables)
+  , mVersions(aTables)
+  , mEndpoints(aTables)
+  , mQueues(aTables, aPools, mEndpoints)
+  , mRetries(aTables)
+  , mAttempts(aTables, aEvidence)
+{
+}
+
+void RequestFlow::Start(const RequestFacts& aFacts, TimePoint aNow, RouterSteps& aSteps)
+{
+  assert(mTables.mRequests.Find(aFacts.mId) == nullptr);
+  SweepVersions(aNow, aSteps);
+  ++mTables.mCounters.mStarted;
+  RequestRow row;
+  auto refusal = mAdmission.Admit(aFacts, aNow, row);
+  if (!refusal) {
+    refusal = mLimits.Take(row, aNow);
+    mTables.mCounters.mRefusedByLimit += refusal ? 1 : 0;
+  }
+  if (refusal) {
+    ++mTables.mCounters.mRefused;
+    aSteps.push_back(*refusal);
+    return;
+  }
+  ++mTables.mCounters.mAdmitted;
+  Place(mTables.mRequests.Insert(std::move(row)), aNow, aSteps);
+}
+
+void RequestFlow::Withdraw(const RequestId& aRequest, const AttemptId& aAttempt)
+{
+  auto* row = mTables.mRequests.Find(aRequest);
+  if (row == nullptr || row->FindAttempt(aAttempt) == nullptr) {
+    return;
+  }
+  mAttempts.Release(*row, aAttempt);
+  if (row->mWorstVerdict == Verdict::NotRun) {
+    mLimits.Refund(*row);
+  }
+  End(*row);
+}
+
+void RequestFlow::Repin(const RequestId& aRequest,
+                        const VersionId& aVersion,
+                        TimePoint aNow,
+                        RouterSteps& aSteps)
+{
+  SweepVersions(aNow, aSteps);
+  auto* row = mTables.mRequests.Find(aRequest);
+  if (row == nullptr) {
+    return;
+  }
+  mQueues.Leave(*row);
+  while (!row->mLive.empty()) {
+    const auto attempt = row->mLive.back().mId;
+    mAttempts.Release(*row, attempt);
+  }
+  row->mPhase = RequestPhase::New;
+  row->mTried.clear();
+  row->mFacts.mPinnedVersion = aVersion;
+  row->mSession = true;
+  row->mVersion.reset();
+  Place(*row, aNow, aSteps);
+}
+
+void RequestFlow::OnOutcome(const RequestId& aRequest,
+                            const AttemptId& aAttempt,
+                            const AttemptOutcome& aOutcome,
+                            TimePoint aNow,
+                            RouterSteps& aSteps)
+{
+  SweepVersions(aNow, aSteps);
+  auto* row = mTables.mRequests.Find(aRequest);
+  if (row == nullptr || row->FindAttempt(aAttempt) == nullptr) {
+    return;
+  }
+  const auto pool = row->mPool;
+  const bool wasHedge = row->FindAttempt(aAttempt)->mHedge;
+  mAttempts.Close(*row, aAttempt, aOutcome, aNow);
+  mLimits.Settle(*row, aOutcome);
+  if (aOutcome.mEnd == AttemptEnd::Complete) {
+    mTables.mCounters.mHedgesWon += wasHedge ? 1 : 0;
+    Finish(*row, aAttempt, aSteps);
+  } else if (aOutcome.mEnd == AttemptEnd::Rejected) {
+    Finish(*row, aAttempt, aSteps);
+  } else if (row->mLive.empty()) {
+    OnFailure(*row, aOutcome, aNow, aSteps);
+  }
+  DrainPool(pool, aNow, aSteps);
+}
+
+void RequestFlow::OnCallerLeft(const RequestId& aRequest, TimePoint aNow, RouterSteps& aSteps)
+{
+  auto* row = mTables.mRequests.Find(aRequest);
+  if (row == nullptr) {
+    return;
+  }
+  const auto pool = row->mPool;
+  const bool placed = row->mVersion.has_value() || row->mFacts.mService.has_value();
+  mQueues.Leave(*row);
+  CancelLive(*row, aSteps);
+  End(*row);
+  if (placed) {
+    DrainPool(pool, aNow, aSteps);
+  }
+}
+
+bool RequestFlow::MayCarryOut(const RequestId& aRequest, const AttemptId& aAttempt) const
+{
+  auto* row = mTables.mRequests.Find(aRequest);
+  const auto* attempt = row == nullptr ? nullptr : row->FindAttempt(aAttempt);
+  if (attempt == nullptr) {
+    return false;
+  }
+  const auto* endpoint = mTables.mEndpoints.Find(attempt->mEndpoint);
+  if (endpoint == nullptr || endpoint->IsLeaving()) {
+    return false;
+  }
+  return !attempt->mVersion || mVersions.IsUsable(*row, *attempt->mVersion);
+}
+
+void RequestFlow::Tick(TimePoint aNow, RouterSteps& aSteps)
+{
+  SweepVersions(aNow, aSteps);
+  CheckDeadlines(aNow, aSteps);
+  for (const auto& it : mTables.mRequests.Ids()) {
+    auto* row = mTables.mRequests.Find(it);
+    if (row != nullptr && row->mPhase == RequestPhase::Delayed && row->mNotBefore <= aNow) {
+      Place(*row, aNow, aSteps);
+    }
+  }
+  std::vector<PoolKey> pools;
+  for (const auto& it : mTables.mPools.All()) {
+    pools.push_back(it.first);
+  }
+  for (const auto& it : pools) {
+    DrainPool(it, aNow, aSteps);
+  }
+  StartHedges(aNow, aSteps);
+  if (aNow < mNextShed) {
+    return;
+  }
+  mNextShed = aNow + kShedPeriod;
+  for (auto& it : mQueues.Shed(aNow)) {
+    ++mTables.mCounters.mShed;
+    Refuse(*mTables.mRequests.Find(it.mRequest), it, aSteps);
+  }
+}
+
+void RequestFlow::SweepVersions(TimePoint aNow, RouterSteps& aSteps)
+{
+  if (!mTables.mVersionsChanged) {
+    return;
+  }
+  mTables.mVersionsChanged = false;
+  for (const auto& it : mTables.mRequests.Ids()) {
+    auto* row = mTables.mRequests.Find(it);
+    if (row == nullptr || !row->mVersion || !row->mLive.empty()) {
+      continue;
+    }
+    if (mVersions.IsUsable(*row, *row->mVersion)) {
+      continue;
+    }
+    mQueues.Leave(*row);
+    row->mPhase = RequestPhase::New;
+    Place(*row, aNow, aSteps);
+  }
+}
+
+void RequestFlow::Place(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps)
+{
+  assert(aRow.mLive.empty());
+  const auto id = aRow.mFacts.mId;
+  if (!ChooseVersion(aRow, aNow, aSteps)) {
+    return;
+  }
+  mPools.Fresh(aRow.mPool);
+  if (aRow.mAttempts == 0) {
+    mTables.mPools.Get(aRow.mPool).mArrivals[aRow.mPriority].Add(1, aNow);
+  }
+  mQueues.Enter(aRow, aNow);
+  const auto pool = aRow.mPool;
+  DrainPool(pool, aNow, aSteps);
+  auto* row = mTables.mRequests.Find(id);
+  if (row == nullptr || row->mPhase != RequestPhase::Queued) {
+    return;
+  }
+  if (const auto refusal = mQueues.CheckWait(*row, aNow)) {
+    ++mTables.mCounters.mShed;
+    Refuse(*row, *refusal, aSteps);
+    return;
+  }
+  aSteps.push_back(WaitStep{ id });
+}
+
+bool RequestFlow::ChooseVersion(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps)
+{
+  if (aRow.mFacts.mService) {
+    aRow.mPool = *aRow.mFacts.mService;
+    return true;
+  }
+  if (aRow.mVersion && mVersions.IsUsable(aRow, *aRow.mVersion)) {
+    return true;
+  }
+  auto decision = mVersions.Choose(aRow, aNow);
+  if (auto* refusal = std::get_if<RefuseStep>(&decision)) {
+    const bool withdrawn = refusal->mReason == refusal::kVersionWithdrawn;
+    mTables.mCounters.mVersionWithdrawn += withdrawn ? 1 : 0;
+    Refuse(aRow, *refusal, aSteps);
+    return false;
+  }
+  aRow.mVersion = std::get<VersionId>(decision);
+  aRow.mPool = *aRow.mVersion;
+  return true;
+}
+
+void RequestFlow::DrainPool(const PoolKey& aPool, TimePoint aNow, RouterSteps& aSteps)
+{
+  mQueues.Drain(aPool, aNow, [&](RequestRow& aRow, EndpointRow& aEndpoint) {
+    Send(aRow, aEndpoint, aNow, aSteps);
+  });
+}
+
+void RequestFlow::Send(RequestRow& aRow,
+                       EndpointRow& aEndpoint,
+                       TimePoint aNow,
+                       RouterSteps& aSteps)
+{
+  assert(!aRow.mNonIdempotent || aRow.mWorstVerdict == Verdict::NotRun);
+  assert(!aRow.mVersion || mVersions.IsUsable(aRow, *aRow.mVersion));
+  auto kind = AttemptKind::First;
+  if (aRow.mAttempts == 0) {
+    mRetries.OnFirstAttempt(aRow);
+  } else if (aRow.mRetryPending) {
+    kind = AttemptKind::Retry;
+  } else if (aRow.mEscalationPending) {
+    kind = AttemptKind::Escalation;
+  }
+  aRow.mRetryPending = false;
+  aRow.mEscalationPending = false;
+  if (aRow.mFacts.mStartsSession && aRow.mVersion) {
+    aRow.mFacts.mPinnedVersion = aRow.mVersion;
+    aRow.mSession = true;
+  }
+  aSteps.push_back(mAttempts.Open(aRow, aEndpoint, kind, aNow));
+}
+
+void RequestFlow::OnFailure(RequestRow& aRow,
+                            const AttemptOutcome& aOutcome,
+                            TimePoint aNow,
+                            RouterSteps& aSteps)
+{
+  const auto expected = mQueues.ExpectedService(aRow, aNow);
+  const auto at = mRetries.RetryAt(aRow, aOutcome, expected, aNow);
+  if (!at) {
+    Refuse(aRow, RefusalFor(aRow, aOutcome, aNow), aSteps);
+    return;
+  }
+  ++aRow.mRetries;
+  aRow.mRetryPending = true;
+  aRow.mPhase = RequestPhase::Delayed;
+  aRow.mNotBefore = *at;
+  aSteps.push_back(WaitStep{ aRow.mFacts.mId });
+}
+
+void RequestFlow::Finish(RequestRow& aRow, const AttemptId& aAttempt, RouterSteps& aSteps)
+{
+  ++mTables.mCounters.mFinished;
+  CancelLive(aRow, aSteps);
+  aSteps.push_back(FinishStep{ aRow.mFacts.mId, aAttempt, aRow.mWorstVerdict });
+  End(aRow);
+}
+
+void RequestFlow::CancelLive(RequestRow& aRow, RouterSteps& aSteps)
+{
+  while (!aRow.mLive.empty()) {
+    const auto attempt = aRow.mLive.back().mId;
+    mAttempts.Release(aRow, attempt);
+    aSteps.push_back(CancelStep{ aRow.mFacts.mId, attempt });
+  }
+}
+
+void RequestFlow::Refuse(RequestRow& aRow, RefuseStep aStep, RouterSteps& aSteps)
+{
+  mQueues.Leave(aRow);
+  aStep.mVerdict = WorseVerdict(aStep.mVerdict, aRow.mWorstVerdict);
+  if (aStep.mVerdict == Verdict::NotRun) {
+    mLimits.Refund(aRow);
+  }
+  ++mTables.mCounters.mRefused;
+  aSteps.push_back(std::move(aStep));
+  End(aRow);
+}
+
+void RequestFlow::End(RequestRow& aRow)
+{
+  assert(aRow.mLive.empty());
+  mLimits.Leave(aRow);
+  mTables.mRequests.Erase(RequestId(aRow.mFacts.mId));
+}
+
+void RequestFlow::CheckDeadlines(TimePoint aNow, RouterSteps& aSteps)
+{
+  for (const auto& it : mTables.mRequests.Ids()) {
+    auto& row = *mTables.mRequests.Find(it);
+    if (row.mPhase != RequestPhase::Running || aNow < row.mFacts.mDeadline) {
+      continue;
+    }
+    AttemptOutcome outcome;
+    outcome.mEnd = AttemptEnd::TimedOut;
+    outcome.mVerdict = Verdict::MayHaveRun;
+    while (!row.mLive.empty()) {
+      const auto attempt = row.mLive.back().mId;
+      mAttempts.Close(row, attempt, outcome, aNow);
+      aSteps.push_back(CancelStep{ it, attempt });
+    }
+    ++mTables.mCounters.mDeadlinesMissed;
+    Refuse(row, RefusalFor(row, outcome, aNow), aSteps);
+  }
+}
+
+void RequestFlow::StartHedges(TimePoint aNow, RouterSteps& aSteps)
+{
+  for (const auto& it : mTables.mRequests.Ids()) {
+    auto& row = *mTables.mRequests.Find(it);
+    if (!row.mHedged || row.mHedgeUsed || row.mLive.size() != 1) {
+      continue;
+    }
+    auto& pool = mPools.Fresh(row.mPool);
+    const auto threshold = pool.mLatency[row.mFacts.mClass].Quantile(kHedgeQuantile);
+    const auto age = aNow - row.mLive.front().mStarted;
+    if (threshold.count() == 0 || age < threshold || row.mLive.front().mFirstTokenSeen) {
+      continue;
+    }
+    if (row.mVersion && !mVersions.IsUsable(row, *row.mVersion)) {
+      continue;
+    }
+    auto* endpoint = mEndpoints.ChooseUntried(row, pool, aNow);
+    if (endpoint == nullptr || !mRetries.TakeForHedge(row)) {
+      continue;
+    }
+    row.mHedgeUsed = true;
+    aSteps.push_back(mAttempts.Open(row, *endpoint, AttemptKind::Hedge, aNow));
+  }
+}
+
+RefuseStep RequestFlow::RefusalFor(const RequestRow& aRow,
+                                   const AttemptOutcome& aOutcome,
+                                   TimePoint aNow)
+{
+  RefuseStep step;
+  step.mRequest = aRow.mFacts.mId;
+  step.mVerdict = aRow.mWorstVerdict;
+  step.mHttpStatus = aRow.mWorstVerdict == Verdict::NotRun ? 503 : 502;
+  switch (aOutcome.mEnd) {
+    case AttemptEnd::Refused:
+      step.mReason = refusal::kEndpointRefused;
+      step.mDetail = "The endpoint has no room.";
+      break;
+    case AttemptEnd::ConnectFailed:
+      step.mReason = refusal::kEndpointUnreachable;
+      step.mDetail = "The endpoint could not be reached.";
+      break;
+    case AttemptEnd::TimedOut:
+      step.mReason = refusal::kTimeout;
+      step.mDetail = "The deadline passed before the answer was complete.";
+      step.mHttpStatus = 504;
+      break;
+    case AttemptEnd::Broken:
+      step.mReason = refusal::kAnswerBroken;
+      step.mDetail = "The connection to the endpoint ended within the answer.";
+      break;
+    case AttemptEnd::Cancelled:
+      step.mReason = refusal::kCancelled;
+      step.mDetail = "The attempt was cancelled.";
+      break;
+    case AttemptEnd::Complete:
+    case AttemptEnd::Rejected:
+    case AttemptEnd::Failed:
+      step.mReason = refusal::kEndpointError;
+      step.mDetail = "The endpoint answered with an error.";
+      break;
+  }
+  if (step.mVerdict == Verdict::NotRun) {
+    step.mRetryAfter = mQueues.RetryAfter(aRow.mPool, aNow);
+  }
+  return step;
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_routing/systems/RequestFlow.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "Admission.h"
+#include "AttemptSystem.h"
+#include "EndpointChoice.h"
+#include "LimitSystem.h"
+#include "PoolSystem.h"
+#include "QueueSystem.h"
+#include "RetrySystem.h"
+#include "VersionChoice.h"
+
+namespace skylarkchute {
+
+/** Takes each request from admission to its end, by way of the other systems. */
+class RequestFlow
+{
+public:
+  RequestFlow(RouterTables& aTables,
+              EvidenceSystem& aEvidence,
+              LimitSystem& aLimits,
+              PoolSystem& aPools);
+
+  /** Admits a request and takes its first step. */
+  void Start(const RequestFacts& aFacts, TimePoint aNow, RouterSteps& aSteps);
+
+  /** Ends a request whose dispatch step was not carried out. */
+  void Withdraw(const RequestId& aRequest, const AttemptId& aAttempt);
+
+  /** Gives the live attempt back and chooses again, on the pinned version. */
+  void Repin(const RequestId& aRequest,
+             const VersionId& aVersion,
+             TimePoint aNow,
+             RouterSteps& aSteps);
+
+  /** Takes in the end of an attempt. */
+  void OnOutcome(const RequestId& aRequest,
+                 const AttemptId& aAttempt,
+                 const AttemptOutcome& aOutcome,
+                 TimePoint aNow,
+                 RouterSteps& aSteps);
+
+  /** Drops a request whose caller left. */
+  void OnCallerLeft(const RequestId& aRequest, TimePoint aNow, RouterSteps& aSteps);
+
+  /** @see Router::MayCarryOut */
+  bool MayCarryOut(const RequestId& aRequest, const AttemptId& aAttempt) const;
+
+  /** Checks the waiting requests against the versions, endpoints and deadlines. */
+  void Tick(TimePoint aNow, RouterSteps& aSteps);
+
+  /** Chooses again for waiting requests whose version can no longer be used, or refuses them. */
+  void SweepVersions(TimePoint aNow, RouterSteps& aSteps);
+
+private:
+  /** Chooses version and endpoint for a request without a live attempt, or queues or ends it. */
+  void Place(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps);
+  bool ChooseVersion(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps);
+  void DrainPool(const PoolKey& aPool, TimePoint aNow, RouterSteps& aSteps);
+  void Send(RequestRow& aRow, EndpointRow& aEndpoint, TimePoint aNow, RouterSteps& aSteps);
+  void OnFailure(RequestRow& aRow,
+                 const AttemptOutcome& aOutcome,
+                 TimePoint aNow,
+                 RouterSteps& aSteps);
+  void Finish(RequestRow& aRow, const AttemptId& aAttempt, RouterSteps& aSteps);
+  void CancelLive(RequestRow& aRow, RouterSteps& aSteps);
+  void Refuse(RequestRow& aRow, RefuseStep aStep, RouterSteps& aSteps);
+  void End(RequestRow& aRow);
+  void CheckDeadlines(TimePoint aNow, RouterSteps& aSteps);
+  void StartHedges(TimePoint aNow, RouterSteps& aSteps);
+  RefuseStep RefusalFor(const RequestRow& aRow, const AttemptOutcome& aOutcome, TimePoint aNow);
+
+  RouterTables& mTables;
+  EvidenceSystem& mEvidence;
+  LimitSystem& mLimits;
+  PoolSystem& mPools;
+  Admission mAdmission;
+  VersionChoice mVersions;
+  EndpointChoice mEndpoints;
+  QueueSystem mQueues;
+  RetrySystem mRetries;
+  AttemptSystem mAttempts;
+  TimePoint mNextShed{};
+};
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_routing/tables/RouterTables.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "../requests/RouterOptions.h"
+#include "../requests/RouterStep.h"
+#include "ClassTable.h"
+#include "EndpointTable.h"
+#include "PoolTable.h"
+#include "RequestTable.h"
+#include "RouterCounters.h"
+#include "RouterReports.h"
+#include "TeamTable.h"
+#include "VersionTable.h"
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_01.hpp>
+
+#include <memory>
+
+namespace skylarkchute {
+
+/** Every table of one router. The systems of a router share them; nothing else owns state. */
+struct RouterTables
+{
+  explicit RouterTables(RouterOptions aOptions)
+    : mOptions(std::move(aOptions))
+    , mBundle(std::make_shared<Bundle>())
+    , mRandom(mOptions.mSeed)
+  {
+  }
+
+  /** Returns a random number from 0 to below 1. */
+  double Draw() { return boost::random::uniform_01<double>()(mRandom); }
+
+  RouterOptions mOptions;
+  std::shared_ptr<const Bundle> mBundle; /**< Never null. */
+  RequestTable mRequests;
+  EndpointTable mEndpoints;
+  PoolTable mPools;
+  VersionTable mVersions;
+  TeamTable mTeams;
+  ClassTable mClasses;
+  bool mVersionsChanged = false; /**< Waiting requests must be checked before any dispatch. */
+  RouterReports mReports;
+  RouterCounters mCounters;
+  boost::random::mt19937_64 mRandom;
+};
+
+} // namespace skylarkchute
--- /dev/null
+++ b/tests/skylarkchute_routing/RouterFixture.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <skylarkchute_routing/skylarkchute_routing.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace skylarkchute {
+
+/** A router over a small bundle, with a manual clock. Key of a team is `key-NAME`. */
+class RouterFixture
+{
+public:
+  explicit RouterFixture(std::uint64_t aSeed = 1);
+
+  /** Puts the edited bundle in force. */
+  RouterSteps ApplyBundle();
+
+  /** Adds an engine that hosts the labels and makes it known to the router. */
+  void AddEngine(const std::string& aId,
+                 const std::vector<std::string>& aLabels,
+                 std::uint32_t aSlots = 4,
+                 const std::string& aZone = "a");
+
+  /** Adds a plain service endpoint. */
+  void AddService(const std::string& aId, const std::string& aService);
+
+  /** Hands the endpoint list to the router. */
+  void ApplyEndpoints();
+
+  /** Reports the load of an engine. */
+  void Report(const std::string& aId, std::uint32_t aRunning, bool aLeaving = false);
+
+  /** Returns facts of a request of team `small` in class `chat` with a fresh id. */
+  RequestFacts Facts(std::chrono::milliseconds aDeadline = std::chrono::seconds(30));
+
+  /** Advances the clock and ticks in steps of 10 ms. */
+  RouterSteps Run(std::chrono::milliseconds aTime);
+
+  /** Returns an outcome of that kind with the verdict that goes with it. */
+  static AttemptOutcome Outcome(AttemptEnd aEnd);
+
+  /** Reports an outcome and returns the steps. */
+  RouterSteps End(const DispatchStep& aStep, AttemptEnd aEnd);
+
+  /** Returns the steps of one kind. */
+  template<typename Step>
+  static std::vector<Step> Of(const RouterSteps& aSteps)
+  {
+    std::vector<Step> found;
+    for (const auto& it : aSteps) {
+      if (const auto* step = std::get_if<Step>(&it)) {
+        found.push_back(*step);
+      }
+    }
+    return found;
+  }
+
+  Bundle mBundle;
+  std::vector<EndpointRecord> mRecords;
+  std::vector<LoadReport> mReports;
+  ManualClock mClock;
+  std::uint64_t mNextId = 0;
+  Router mRouter;
+};
+
+} // namespace skylarkchute
