--- a/modules/skylarkchute_core/skylarkchute_core.h
+++ b/modules/skylarkchute_core/skylarkchute_core.h
@@ -19,3 +19,4 @@
 #include "time/Clock.h"
 #include "time/ManualClock.h"
 #include "time/SystemClock.h"
+#include "json/JsonText.h"
--- a/modules/skylarkchute_ledger/LedgerTypes.h
+++ b/modules/skylarkchute_ledger/LedgerTypes.h
@@ -11,7 +11,7 @@
 /** One write-once register: the first value written under a key stays. */
 struct RegisterWrite
 {
-  std::string mKey;   /**< `claim/TEAM/KEY` or `pin/TEAM/SESSION`. */
+  std::string mKey;   /**< `KIND/TEAM/KEY`; registers of one TEAM/KEY share a shard. */
   std::string mValue; /**< JSON text. */
   WallTime mExpires;
 };
@@ -22,6 +22,7 @@
   Lost,       /**< Another value is durable; it is given. */
   NotWritten, /**< The store is down; certainly nothing was written. */
   Unresolved, /**< The store's answer was lost and it cannot yet be read back. */
+  Absent,     /**< Answer to a read: nothing is durable under the key. */
 };
 
 /** The outcome of one register write. */
@@ -29,7 +30,7 @@
 {
   std::uint64_t mTicket = 0; /**< As given to the write. */
   RegisterResult mResult = RegisterResult::Unresolved;
-  std::string mValue; /**< The durable value after Won or Lost. */
+  std::string mValue; /**< The durable value after Won or Lost; a read that finds one is Lost. */
 };
 
 /** One line of the bill. */
--- /dev/null
+++ b/modules/skylarkchute_ledger/registers/ShardedRegisters.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "ShardChain.h"
+#include "WallClockEstimate.h"
+
+namespace skylarkchute {
+
+/** Write-once registers in shard chains with group commit. @see ShardChain */
+class ShardedRegisters
+{
+public:
+  explicit ShardedRegisters(RegisterOptions aOptions);
+
+  /** Starts a write; its outcome follows under @p aTicket. */
+  RegisterOutput Write(std::uint64_t aTicket, const RegisterWrite& aWrite, TimePoint aNow);
+
+  /** Starts a read; its outcome follows under @p aTicket. */
+  RegisterOutput Read(std::uint64_t aTicket, const std::string& aKey, TimePoint aNow);
+
+  /** Takes in the outcome of one of the calls. */
+  RegisterOutput OnReply(const ObjectReply& aReply, TimePoint aNow);
+
+  /** Drives retries, time limits and the removal of expired segments. */
+  RegisterOutput Tick(TimePoint aNow, WallTime aWallNow);
+
+  /** Returns the number of registers held in memory. */
+  std::size_t RegisterCount() const;
+
+private:
+  using ChainMap = std::map<std::uint32_t, ShardChain>;
+
+  ChainMap::iterator ChainOf(const std::string& aKey);
+  RegisterOutput Convert(std::uint32_t aShard, ShardOutput aOutput);
+
+  RegisterOptions mOptions;
+  WallClockEstimate mWall;
+  std::uint64_t mNextCall = 1;
+  ChainMap mChains;
+  std::map<std::uint64_t, std::uint32_t> mCalls; /**< Shard of each call under way. */
+};
+
+/** Returns the shard of a register: the part of its key after the kind decides. */
+std::uint32_t ShardOf(const std::string& aKey, std::uint32_t aShards);
+
+} // namespace skylarkchute
