--- a/modules/skylarkchute_bundles/json/JsonObject.cpp
+++ b/modules/skylarkchute_bundles/json/JsonObject.cpp
@@ -94,14 +94,6 @@
   return leaf::new_error(std::move(faults));
 }
 
-std::string WriteJson(const Json::Value& aValue)
-{
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  builder["emitUTF8"] = true;
-  return Json::writeString(builder, aValue);
-}
-
 Json::Int64 TimeToJson(WallTime aTime)
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime.time_since_epoch()).count();
--- a/modules/skylarkchute_bundles/json/JsonObject.h
+++ b/modules/skylarkchute_bundles/json/JsonObject.h
@@ -41,9 +41,6 @@
   std::vector<std::string> mRefused;
 };
 
-/** Returns compact JSON text with members in alphabetical order. */
-std::string WriteJson(const Json::Value& aValue);
-
 /** Returns milliseconds since 1970, as the JSON objects of this module hold wall times. */
 Json::Int64 TimeToJson(WallTime aTime);
 
--- a/modules/skylarkchute_core/skylarkchute_core.h
+++ b/modules/skylarkchute_core/skylarkchute_core.h
@@ -11,6 +11,7 @@
 #include "hashing/Placement.h"
 #include "identifiers/Identifier.h"
 #include "identifiers/Identifiers.h"
+#include "identifiers/Incarnation.h"
 #include "metrics/LatencyHistogram.h"
 #include "metrics/MetricsRegistry.h"
 #include "settings/IniDocument.h"
--- /dev/null
+++ b/modules/skylarkchute_node/events/NodeEvents.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <skylarkchute_core/skylarkchute_core.h>
+
+#include <vector>
+
+namespace skylarkchute {
+
+inline constexpr EventDescription kBundleInForce{
+  901, EventLevel::Info, "bundle-in-force", "Another generation of the bundle is in force here."
+};
+inline constexpr EventDescription kRequestRefused{
+  902, EventLevel::Debug, "request-refused", "A request ended without an answer of an endpoint."
+};
+inline constexpr EventDescription kPeerMessageUnreadable{
+  903, EventLevel::Warning, "peer-message-unreadable", "A message of a peer could not be read."
+};
+inline constexpr EventDescription kGenerationUnconfirmed{
+  904,
+  EventLevel::Warning,
+  "generation-unconfirmed",
+  "A request was refused since neither store nor peers confirmed the generation in time."
+};
+
+/** Returns every event of this module. */
+inline std::vector<const EventDescription*> NodeEvents()
+{
+  return { &kBundleInForce, &kRequestRefused, &kPeerMessageUnreadable, &kGenerationUnconfirmed };
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_node/requests/RequestRecord.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "NodeRequest.h"
+
+#include <map>
+#include <optional>
+
+namespace skylarkchute {
+
+/** What became of the right to run a non-idempotent request. */
+enum class RunRight
+{
+  NotNeeded,  /**< The request is idempotent. */
+  Needed,     /**< Neither claimed nor ticketed yet. */
+  Asked,      /**< The claim is on its way to the store. */
+  Granted,    /**< This request may be dispatched once. */
+  Dispatched, /**< It was dispatched. */
+};
+
+/** One request under way on this node. */
+struct RequestRecord
+{
+  NodeRequest mRequest;
+  TeamName mTeam;
+  std::uint32_t mPriority = 0;
+  RunRight mRight = RunRight::NotNeeded;
+  bool mHasTicket = false;                 /**< The key is a ticket of this incarnation. */
+  std::optional<SessionId> mSessionToPin;  /**< The caller's own name, until it is pinned. */
+  std::optional<DispatchStep> mHeld;       /**< Waits for a pin or a claim. */
+  std::map<AttemptId, VersionId> mVersions; /**< Of each dispatched attempt. */
+  AttemptOutcome mLastOutcome;
+  AnswerContent mLastContent;
+  bool mCallerLeft = false;
+};
+
+/** A request that waits for the bundle's generation to be confirmed. */
+struct UnconfirmedRequest
+{
+  NodeRequest mRequest;
+  TimePoint mGiveUp;
+};
+
+} // namespace skylarkchute
