Endpoint clients, the callers' entry and endpoint stand-ins

Cause: callers need an HTTP entry and the node needs clients of engines and services. Change: endpoints module (attempts with echo, numbering, resume and verdicts; load, orders, ratings), entry module (routes, checks, sessions, answer streams, TLS, graceful stop), stand-ins for engine, plain service, rating service and weight store. The entry has no tests yet. Conclusion: the node can be composed against these interfaces.

--- /dev/null
+++ b/modules/skylarkchute_endpoints/attempts/AttemptRequest.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <skylarkchute_core/skylarkchute_core.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace skylarkchute {
+
+/** One attempt to run a caller's request at one endpoint. */
+struct AttemptRequest
+{
+  AttemptId mAttempt;   /**< Sent as `X-Request-Id`; the endpoint must echo it. */
+  std::string mAddress; /**< IP number. */
+  std::uint16_t mPort = 0;
+  std::chrono::milliseconds mTimeout{ 0 }; /**< From connect to the last byte of the answer. */
+  std::string mMethod = "POST";
+  std::string mPath;
+  std::string mBody;
+  std::string mContentType = "application/json";
+  bool mStream = false;        /**< The answer is an SSE stream of numbered chunks. */
+  bool mModelRequest = true;   /**< A chat completion; false for plain services. */
+  std::uint32_t mPriority = 0; /**< Sent as `X-Priority`; larger is served first. */
+  RequestKey mRequestKey;      /**< Sent as `Idempotency-Key`. */
+};
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_endpoints/connections/EndpointConnection.cpp
@@ -0,0 +1,129 @@
+#include "EndpointConnection.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Timespan.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace skylarkchute {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+Poco::Timespan ToTimespan(std::chrono::milliseconds aTime)
+{
+  const auto time = std::max(aTime, std::chrono::milliseconds(1));
+  return { static_cast<Poco::Timespan::TimeDiff>(
+    std::chrono::duration_cast<std::chrono::microseconds>(time).count()) };
+}
+
+} // namespace
+
+EndpointConnection::EndpointConnection(const std::string& aAddress, std::uint16_t aPort)
+  : mAddress(aAddress)
+  , mPort(aPort)
+{
+}
+
+void EndpointConnection::Connect(std::chrono::milliseconds aTimeout)
+{
+  assert(!mSession);
+  mSocket.connect(Poco::Net::SocketAddress(mAddress, mPort), ToTimespan(aTimeout));
+  mSocket.setNoDelay(true);
+  const std::lock_guard lock(mMutex);
+  if (mShutDown) {
+    throw Poco::Net::ConnectionAbortedException("shut down while connecting");
+  }
+  mSession = std::make_unique<Poco::Net::HTTPClientSession>(mSocket);
+  mSession->setKeepAlive(false);
+}
+
+void EndpointConnection::Send(Poco::Net::HTTPRequest& aRequest,
+                              const std::string& aBody,
+                              std::chrono::milliseconds aTimeout)
+{
+  assert(mSession);
+  mSocket.setSendTimeout(ToTimespan(aTimeout));
+  aRequest.setHost(mAddress, mPort);
+  aRequest.setContentLength64(static_cast<Poco::Int64>(aBody.size()));
+  // A chunked answer on a kept connection has a verifiable end.
+  aRequest.setKeepAlive(true);
+  auto& out = mSession->sendRequest(aRequest);
+  out << aBody << std::flush;
+  if (!out) {
+    throw Poco::Net::ConnectionAbortedException("the request could not be sent whole");
+  }
+}
+
+void EndpointConnection::ReceiveHead(std::chrono::milliseconds aTimeout)
+{
+  assert(mSession);
+  mSocket.setReceiveTimeout(ToTimespan(aTimeout));
+  mBody = &mSession->receiveResponse(mResponse);
+  mBodyBytes = 0;
+}
+
+ReadEnd EndpointConnection::ReadSome(std::string& aBytes, std::chrono::milliseconds aTimeout)
+{
+  assert(mBody);
+  try {
+    mSocket.setReceiveTimeout(ToTimespan(aTimeout));
+    if (mBody->peek() == std::istream::traits_type::eof()) {
+      return EndOfBody();
+    }
+    std::array<char, kReadBytes> buf{};
+    const auto count = mBody->readsome(buf.data(), buf.size());
+    aBytes.append(buf.data(), static_cast<std::size_t>(count));
+    mBodyBytes += static_cast<std::uint64_t>(count);
+    return ReadEnd::Data;
+  } catch (const Poco::TimeoutException&) {
+    return ReadEnd::TimedOut;
+  } catch (const Poco::Exception&) {
+    return ReadEnd::Broken;
+  }
+}
+
+ReadEnd EndpointConnection::EndOfBody() const
+{
+  const auto* failure = mSession->networkException();
+  if (dynamic_cast<const Poco::TimeoutException*>(failure) != nullptr) {
+    return ReadEnd::TimedOut;
+  }
+  if (failure != nullptr) {
+    return ReadEnd::Broken;
+  }
+  if (mResponse.hasContentLength()) {
+    const auto expected = static_cast<std::uint64_t>(mResponse.getContentLength64());
+    return mBodyBytes == expected ? ReadEnd::Whole : ReadEnd::Broken;
+  }
+  // Without a length, a closed connection cannot be told from a body that was cut off.
+  return IsClosedByPeer() ? ReadEnd::Broken : ReadEnd::Whole;
+}
+
+bool EndpointConnection::IsClosedByPeer() const
+{
+  if (!mResponse.getChunkedTransferEncoding()) {
+    return true;
+  }
+  return mSocket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+}
+
+void EndpointConnection::Shutdown()
+{
+  const std::lock_guard lock(mMutex);
+  mShutDown = true;
+  if (!mSession) {
+    return;
+  }
+  try {
+    mSocket.shutdown();
+  } catch (const Poco::Exception&) {
+    // The peer has already closed the connection.
+  }
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_entry/http/ConnectionRegistry.cpp
@@ -0,0 +1,126 @@
+#include "ConnectionRegistry.h"
+
+#include <Poco/Exception.h>
+
+namespace skylarkchute {
+
+namespace {
+
+constexpr std::chrono::milliseconds kWatchPeriod{ 50 };
+
+} // namespace
+
+ConnectionRegistry::Entry::Entry(ConnectionRegistry& aRegistry,
+                                 const Poco::Net::StreamSocket& aSocket)
+  : mRegistry(aRegistry)
+  , mSocket(aSocket)
+{
+  const std::lock_guard lock(mRegistry.mMutex);
+  mPlace = mRegistry.mEntries.insert(mRegistry.mEntries.end(), this);
+}
+
+ConnectionRegistry::Entry::~Entry()
+{
+  const std::lock_guard lock(mRegistry.mMutex);
+  mRegistry.mEntries.erase(mPlace);
+  mRegistry.mChanged.notify_all();
+}
+
+void ConnectionRegistry::Entry::BeginIdle()
+{
+  const std::lock_guard lock(mRegistry.mMutex);
+  mPhase = Phase::Idle;
+  if (mRegistry.mDraining) {
+    ShutReceive();
+  }
+}
+
+void ConnectionRegistry::Entry::BeginReading(std::chrono::milliseconds aTimeout)
+{
+  const std::lock_guard lock(mRegistry.mMutex);
+  mPhase = Phase::Reading;
+  mDeadline = mRegistry.mClock.Now() + aTimeout;
+}
+
+bool ConnectionRegistry::Entry::BeginBusy()
+{
+  const std::lock_guard lock(mRegistry.mMutex);
+  if (mPhase == Phase::Expired) {
+    return false;
+  }
+  mPhase = Phase::Busy;
+  return true;
+}
+
+bool ConnectionRegistry::Entry::IsExpired() const
+{
+  const std::lock_guard lock(mRegistry.mMutex);
+  return mPhase == Phase::Expired;
+}
+
+void ConnectionRegistry::Entry::ShutReceive()
+{
+  try {
+    mSocket.shutdownReceive();
+  } catch (const Poco::Exception&) {
+    // The caller has already closed the connection.
+  }
+}
+
+ConnectionRegistry::ConnectionRegistry() : mWatcher([this] { Watch(); }) {}
+
+ConnectionRegistry::~ConnectionRegistry()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mStopping = true;
+    mChanged.notify_all();
+  }
+  mWatcher.join();
+}
+
+void ConnectionRegistry::Drain()
+{
+  const std::lock_guard lock(mMutex);
+  mDraining = true;
+  for (auto* it : mEntries) {
+    if (it->mPhase == Entry::Phase::Idle) {
+      it->ShutReceive();
+    }
+  }
+}
+
+bool ConnectionRegistry::IsDraining() const
+{
+  const std::lock_guard lock(mMutex);
+  return mDraining;
+}
+
+std::size_t ConnectionRegistry::Count() const
+{
+  const std::lock_guard lock(mMutex);
+  return mEntries.size();
+}
+
+bool ConnectionRegistry::WaitUntilEmpty(std::chrono::milliseconds aTimeout)
+{
+  std::unique_lock lock(mMutex);
+  return mChanged.wait_for(lock, aTimeout, [this] { return mEntries.empty(); });
+}
+
+void ConnectionRegistry::Watch()
+{
+  std::unique_lock lock(mMutex);
+  while (!mStopping) {
+    mChanged.wait_for(lock, kWatchPeriod, [this] { return mStopping; });
+    const auto now = mClock.Now();
+    for (auto* it : mEntries) {
+      if (it->mPhase == Entry::Phase::Reading && it->mDeadline <= now) {
+        it->mPhase = Entry::Phase::Expired;
+        it->ShutReceive();
+      }
+    }
+  }
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_entry/http/HttpEntry.cpp
@@ -0,0 +1,149 @@
+#include "HttpEntry.h"
+
+#include "EntryConnection.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/Thread.h>
+
+#include <cassert>
+
+namespace skylarkchute {
+
+namespace {
+
+constexpr int kBacklog = 256;
+constexpr int kMinThreads = 2;
+constexpr int kServiceUnavailable = 503;
+constexpr int kIdleSeconds = 60;
+constexpr std::chrono::milliseconds kRetryAfter{ 1000 };
+constexpr std::chrono::milliseconds kStopTime{ 1000 };
+constexpr long kQueuePollMs = 5;
+
+std::string RefusalText(bool aIsTls)
+{
+  if (aIsTls) {
+    return "";
+  }
+  const ProblemReply problem{ kServiceUnavailable,
+                              Verdict::NotRun,
+                              "too-many-connections",
+                              "the instance takes no more connections",
+                              kRetryAfter };
+  const auto body = problem.Json(RequestId());
+  return "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+         "Content-Type: application/problem+json\r\nSkylark-Verdict: not-run\r\nRetry-After: " +
+         problem.RetryAfterSeconds() + "\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+std::unique_ptr<TlsIdentity> MakeTls(const EntryOptions& aOptions)
+{
+  if (aOptions.mCertificateFile.empty()) {
+    return nullptr;
+  }
+  return std::make_unique<TlsIdentity>(aOptions.mCertificateFile, aOptions.mPrivateKeyFile);
+}
+
+} // namespace
+
+/** Refuses connections over the bound before they take a thread. */
+class HttpEntry::Filter final : public Poco::Net::TCPServerConnectionFilter
+{
+public:
+  explicit Filter(HttpEntry& aEntry) : mEntry(aEntry) {}
+
+  bool accept(const Poco::Net::StreamSocket& aSocket) override
+  {
+    if (mEntry.MayAccept()) {
+      return true;
+    }
+    ++mEntry.mRefused;
+    mEntry.mRefusals.Refuse(aSocket);
+    return false;
+  }
+
+private:
+  HttpEntry& mEntry;
+};
+
+class HttpEntry::Factory final : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+  Factory(HttpEntry& aEntry, RequestSink& aSink) : mEntry(aEntry), mSink(aSink) {}
+
+  Poco::Net::TCPServerConnection* createConnection(const Poco::Net::StreamSocket& aSocket) override
+  {
+    const EntryContext context{ mEntry.mOptions, mSink, mEntry.mBodies, mEntry.mLeaving };
+    return new EntryConnection(aSocket, context, mEntry.mRegistry, mEntry.mTls.get());
+  }
+
+private:
+  HttpEntry& mEntry;
+  RequestSink& mSink;
+};
+
+HttpEntry::HttpEntry(EntryOptions aOptions, RequestSink& aSink)
+  : mOptions(std::move(aOptions))
+  , mBodies(mOptions.mMaxBodyBytesTotal)
+  , mTls(MakeTls(mOptions))
+  , mRefusals(RefusalText(mTls != nullptr))
+  , mPool("callers", kMinThreads, mOptions.mMaxConnections + kMinThreads, kIdleSeconds)
+{
+  assert(mOptions.mMaxConnections > 0);
+  Poco::Net::TCPServerParams::Ptr params(new Poco::Net::TCPServerParams);
+  params->setMaxThreads(mOptions.mMaxConnections);
+  params->setMaxQueued(mOptions.mMaxConnections);
+  Poco::Net::ServerSocket listener;
+  listener.bind(Poco::Net::SocketAddress(mOptions.mAddress, mOptions.mPort), true);
+  listener.listen(kBacklog);
+  mServer = std::make_unique<Poco::Net::TCPServer>(
+    Poco::Net::TCPServerConnectionFactory::Ptr(new Factory(*this, aSink)), mPool, listener, params);
+  mServer->setConnectionFilter(Poco::Net::TCPServerConnectionFilter::Ptr(new Filter(*this)));
+  mServer->start();
+}
+
+HttpEntry::~HttpEntry()
+{
+  StopAccepting();
+  WaitForSessions(kStopTime);
+  mPool.joinAll();
+}
+
+std::uint16_t HttpEntry::Port() const
+{
+  return mServer->port();
+}
+
+void HttpEntry::BeginLeaving()
+{
+  mLeaving = true;
+}
+
+bool HttpEntry::MayAccept() const
+{
+  const auto waiting = static_cast<std::size_t>(mServer->queuedConnections());
+  return !mStopped &&
+         mRegistry.Count() + waiting < static_cast<std::size_t>(mOptions.mMaxConnections);
+}
+
+void HttpEntry::StopAccepting()
+{
+  mLeaving = true;
+  if (mStopped.exchange(true)) {
+    return;
+  }
+  // Stopping the server drops connections that no thread has taken up yet.
+  while (mServer->queuedConnections() > 0) {
+    Poco::Thread::sleep(kQueuePollMs);
+  }
+  mServer->stop();
+  mRegistry.Drain();
+}
+
+bool HttpEntry::WaitForSessions(std::chrono::milliseconds aTimeout)
+{
+  return mRegistry.WaitUntilEmpty(aTimeout);
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_entry/http/TlsIdentity.cpp
@@ -0,0 +1,84 @@
+#include "TlsIdentity.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SSLManager.h>
+
+#include <openssl/ssl.h>
+
+namespace skylarkchute {
+
+namespace {
+
+constexpr std::chrono::seconds kLookPeriod{ 1 };
+
+} // namespace
+
+TlsIdentity::TlsIdentity(std::string aCertificateFile, std::string aPrivateKeyFile)
+  : mCertificateFile(std::move(aCertificateFile))
+  , mPrivateKeyFile(std::move(aPrivateKeyFile))
+  , mContext(Load())
+  , mStamps(ReadStamps())
+  , mNextLook(mClock.Now() + kLookPeriod)
+{
+}
+
+Poco::Net::Context::Ptr TlsIdentity::Current()
+{
+  const std::lock_guard lock(mMutex);
+  const auto now = mClock.Now();
+  if (now < mNextLook) {
+    return mContext;
+  }
+  mNextLook = now + kLookPeriod;
+  const auto stamps = ReadStamps();
+  if (stamps == mStamps) {
+    return mContext;
+  }
+  try {
+    mContext = Load();
+    mStamps = stamps;
+    ++mReloads;
+  } catch (const Poco::Exception&) {
+    ++mFailedReloads;
+  }
+  return mContext;
+}
+
+std::uint64_t TlsIdentity::Reloads() const
+{
+  const std::lock_guard lock(mMutex);
+  return mReloads;
+}
+
+std::uint64_t TlsIdentity::FailedReloads() const
+{
+  const std::lock_guard lock(mMutex);
+  return mFailedReloads;
+}
+
+TlsIdentity::FileStamps TlsIdentity::ReadStamps() const
+{
+  std::error_code ec;
+  FileStamps stamps;
+  stamps.mCertificate = std::filesystem::last_write_time(mCertificateFile, ec);
+  stamps.mPrivateKey = std::filesystem::last_write_time(mPrivateKeyFile, ec);
+  return stamps;
+}
+
+Poco::Net::Context::Ptr TlsIdentity::Load() const
+{
+  Poco::Net::Context::Params params;
+  params.certificateFile = mCertificateFile;
+  params.privateKeyFile = mPrivateKeyFile;
+  params.verificationMode = Poco::Net::Context::VERIFY_NONE;
+  params.cipherList = "HIGH:!aNULL:!MD5";
+  Poco::Net::Context::Ptr context(
+    new Poco::Net::Context(Poco::Net::Context::TLS_SERVER_USE, params));
+  context->requireMinimumProtocol(Poco::Net::Context::PROTO_TLSV1_2);
+  if (SSL_CTX_check_private_key(context->sslContext()) != 1) {
+    throw Poco::InvalidArgumentException("the private key does not belong to the certificate");
+  }
+  return context;
+}
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_entry/skylarkchute_entry.h
+++ b/modules/skylarkchute_entry/skylarkchute_entry.h
@@ -1,3 +1,14 @@
 #pragma once
 
-/** HTTP towards callers. */
+/** HTTP for callers: routes, checks, sessions with their answers, graceful stop. Does I/O. */
+
+#include "RequestSink.h"
+#include "events/EntryEvents.h"
+#include "http/EntryOptions.h"
+#include "http/HttpEntry.h"
+#include "problems/ProblemReply.h"
+#include "requests/CallerRequest.h"
+#include "requests/RequestParser.h"
+#include "sessions/AnswerHead.h"
+#include "sessions/AnswerStream.h"
+#include "sessions/CallerSession.h"
--- /dev/null
+++ b/standins/weights/WeightStoreStandIn.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "../http/StandInServer.h"
+
+#include <chrono>
+#include <map>
+#include <mutex>
+
+namespace skylarkchute::standins {
+
+/** Stands in for the weight store: gives out weights at a limited rate.
+    docs/STANDINS.md gives its protocol and switches. */
+class WeightStoreStandIn
+{
+public:
+  struct Options
+  {
+    std::uint16_t mPort = 0;
+    double mLoadsPerSecond = 4; /**< Beyond this, loads are answered with 429. */
+  };
+
+  explicit WeightStoreStandIn(Options aOptions);
+
+  std::uint16_t Port() const { return mServer.Port(); }
+
+  /** Sets switches as `PUT /standin/switches` does. */
+  void Switch(const std::string& aJson);
+
+  /** Returns how often the weights of a label were given out. */
+  std::uint64_t Loads(const std::string& aLabel) const;
+
+  /** Returns how many loads were refused for their rate. */
+  std::uint64_t Refused() const;
+
+private:
+  using Request = Poco::Net::HTTPServerRequest;
+  using Response = Poco::Net::HTTPServerResponse;
+
+  void Handle(Request& aRequest, Response& aResponse);
+  void HandleLoad(const std::string& aLabel, Response& aResponse);
+  bool TakeToken();
+  Json::Value Records() const;
+
+  Options mOptions;
+  mutable std::mutex mMutex;
+  Json::Value mSwitches;
+  std::map<std::string, std::uint64_t> mLoads;
+  std::uint64_t mRefused = 0;
+  double mTokens;
+  std::chrono::steady_clock::time_point mLastRefill;
+  StandInServer mServer;
+};
+
+} // namespace skylarkchute::standins
