Claims, pins and the register service

Cause: non-idempotent requests run at most once; sessions keep their version. Change: RegisterService forwards register writes to the soft owner and writes itself when the owner does not answer; ClaimDesk and PinDesk over it; tests of both register stores against a naive map under every store fault, with pauses and deaths.

--- a/modules/skylarkchute_bundles/json/JsonObject.cpp
+++ b/modules/skylarkchute_bundles/json/JsonObject.cpp
@@ -68,6 +68,15 @@
   return WallTime(std::chrono::milliseconds(mValue[aMember].asInt64()));
 }
 
+bool JsonObject::Flag(const char* aMember)
+{
+  if (!mValue[aMember].isBool()) {
+    Refuse(aMember);
+    return false;
+  }
+  return mValue[aMember].asBool();
+}
+
 const Json::Value& JsonObject::Array(const char* aMember)
 {
   if (!mValue[aMember].isArray()) {
--- a/modules/skylarkchute_bundles/json/JsonObject.h
+++ b/modules/skylarkchute_bundles/json/JsonObject.h
@@ -26,6 +26,10 @@
   std::uint64_t Count(const char* aMember);
   double Number(const char* aMember);
   WallTime Time(const char* aMember);
+  bool Flag(const char* aMember);
+
+  /** Returns whether the object has the member, of any type. */
+  bool Has(const char* aMember) const { return mValue.isMember(aMember); }
 
   /** Returns an array, empty when invalid. */
   const Json::Value& Array(const char* aMember);
@@ -33,6 +37,9 @@
   /** Makes the object invalid, naming the member. */
   void Refuse(const std::string& aMember);
 
+  /** Returns whether nothing was refused so far. */
+  bool IsValid() const { return mRefused.empty(); }
+
   /** Returns success, or Faults that name the object and each refused member. */
   boost::leaf::result<void> Check(const std::string& aObjectName) const;
 
--- a/modules/skylarkchute_core/skylarkchute_core.h
+++ b/modules/skylarkchute_core/skylarkchute_core.h
@@ -19,4 +19,3 @@
 #include "time/Clock.h"
 #include "time/ManualClock.h"
 #include "time/SystemClock.h"
-#include "json/JsonText.h"
--- a/modules/skylarkchute_ledger/registers/RegisterCodec.cpp
+++ b/modules/skylarkchute_ledger/registers/RegisterCodec.cpp
@@ -1,5 +1,7 @@
 #include "RegisterCodec.h"
 
+#include <skylarkchute_bundles/json/JsonObject.h>
+
 namespace skylarkchute {
 
 namespace {
@@ -9,18 +11,16 @@
   Json::Value json;
   json["k"] = aRegister.mKey;
   json["v"] = aRegister.mValue;
-  json["e"] = Json::Int64(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aRegister.mExpires.time_since_epoch())
-      .count());
+  json["e"] = TimeToJson(aRegister.mExpires);
   return json;
 }
 
-RegisterWrite FromJson(const Json::Value& aJson)
+RegisterWrite FromJson(JsonObject& aJson)
 {
   RegisterWrite out;
-  out.mKey = JsonTextField(aJson, "k");
-  out.mValue = JsonTextField(aJson, "v");
-  out.mExpires = WallTime(std::chrono::milliseconds(JsonIntegerField(aJson, "e")));
+  out.mKey = aJson.Text("k");
+  out.mValue = aJson.Text("v");
+  out.mExpires = aJson.Time("e");
   return out;
 }
 
@@ -33,11 +33,12 @@
 
 std::optional<RegisterWrite> DecodeRegister(const std::string& aText)
 {
-  const auto json = ReadJsonObject(aText);
-  if (!json || JsonTextField(*json, "k").empty()) {
+  JsonObject json(aText);
+  auto out = FromJson(json);
+  if (!json.IsValid() || out.mKey.empty()) {
     return std::nullopt;
   }
-  return FromJson(*json);
+  return out;
 }
 
 std::string EncodeHead(const ShardHead& aHead)
@@ -55,16 +56,20 @@
 
 std::optional<ShardHead> DecodeHead(const std::string& aText)
 {
-  const auto json = ReadJsonObject(aText);
-  if (!json || !json->isMember("registers")) {
-    return std::nullopt;
-  }
+  JsonObject json(aText);
   ShardHead head;
-  head.mFirst = JsonCountField(*json, "first");
-  head.mNumber = JsonCountField(*json, "number");
-  head.mSealed = JsonFlagField(*json, "sealed");
-  for (const auto& it : JsonArrayField(*json, "registers")) {
-    head.mRegisters.push_back(FromJson(it));
+  head.mFirst = json.Count("first");
+  head.mNumber = json.Count("number");
+  head.mSealed = json.Flag("sealed");
+  for (const auto& it : json.Array("registers")) {
+    JsonObject entry(it);
+    head.mRegisters.push_back(FromJson(entry));
+    if (!entry.IsValid()) {
+      return std::nullopt;
+    }
+  }
+  if (!json.IsValid()) {
+    return std::nullopt;
   }
   return head;
 }
--- a/modules/skylarkchute_ledger/skylarkchute_ledger.h
+++ b/modules/skylarkchute_ledger/skylarkchute_ledger.h
@@ -3,5 +3,8 @@
 /** Write-once registers for claims and session pins, session tokens, tickets, usage batches. */
 
 #include "LedgerTypes.h"
+#include "claims/ClaimDesk.h"
 #include "events/LedgerEvents.h"
+#include "pins/PinDesk.h"
+#include "registers/RegisterService.h"
 #include "registers/WriteOnceRegisters.h"
--- /dev/null
+++ b/tests/skylarkchute_ledger/RegisterTests.cpp
@@ -0,0 +1,405 @@
+#include "support/AsyncStore.h"
+
+#include <skylarkchute_ledger/skylarkchute_ledger.h>
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace skylarkchute;
+using namespace std::chrono_literals;
+
+namespace {
+
+enum class Kind
+{
+  ObjectPerRegister,
+  Sharded,
+};
+
+WriteOnceRegisters MakeRegisters(Kind aKind, RegisterOptions aOptions)
+{
+  if (aKind == Kind::ObjectPerRegister) {
+    return WriteOnceRegisters(ObjectPerRegister(aOptions));
+  }
+  return WriteOnceRegisters(ShardedRegisters(aOptions));
+}
+
+RegisterOptions SmallOptions()
+{
+  RegisterOptions options;
+  options.mShards = 2;
+  options.mSegmentRegisters = 4;
+  options.mCallTimeout = 50ms;
+  options.mGiveUp = 400ms;
+  options.mFirstRetry = 5ms;
+  options.mLongestRetry = 40ms;
+  return options;
+}
+
+/** Several instances that write registers through one store. */
+class Fleet
+{
+public:
+  Fleet(Kind aKind, std::size_t aInstances, std::uint32_t aSeed, AsyncStore::Options aFaults)
+    : mKind(aKind)
+    , mAsync(mStore, aFaults, aSeed)
+  {
+    for (std::size_t n = 0; n < aInstances; ++n) {
+      mInstances.push_back({ MakeRegisters(aKind, SmallOptions()), false, {}, 0 });
+    }
+    Tick();
+  }
+
+  void Write(std::size_t aInstance, std::uint64_t aTicket, const RegisterWrite& aWrite)
+  {
+    Take(aInstance, mInstances[aInstance].mRegisters.Write(aTicket, aWrite, mClock.Now()));
+  }
+
+  void Read(std::size_t aInstance, std::uint64_t aTicket, const std::string& aKey)
+  {
+    Take(aInstance, mInstances[aInstance].mRegisters.Read(aTicket, aKey, mClock.Now()));
+  }
+
+  /** Keeps all replies from an instance until it resumes. */
+  void Pause(std::size_t aInstance) { mInstances[aInstance].mPaused = true; }
+
+  void Resume(std::size_t aInstance)
+  {
+    mInstances[aInstance].mPaused = false;
+    auto held = std::move(mInstances[aInstance].mHeld);
+    mInstances[aInstance].mHeld.clear();
+    for (const auto& it : held) {
+      Take(aInstance, mInstances[aInstance].mRegisters.OnReply(it, mClock.Now()));
+    }
+  }
+
+  /** Replaces an instance by a new one; what it had under way is never answered. */
+  void Kill(std::size_t aInstance)
+  {
+    const auto life = mInstances[aInstance].mLife + 1;
+    mInstances[aInstance] = { MakeRegisters(mKind, SmallOptions()), false, {}, life };
+    Tick();
+  }
+
+  /** Lets time pass in steps of a millisecond. */
+  void Run(std::chrono::milliseconds aTime)
+  {
+    for (auto n = 0ms; n < aTime; n += 1ms) {
+      mClock.Advance(1ms);
+      for (const auto& it : mAsync.Advance(mClock.Now())) {
+        const auto index = it.mInstance % kLifeStride;
+        auto& instance = mInstances[index];
+        if (it.mInstance / kLifeStride != instance.mLife) {
+          continue;
+        }
+        if (instance.mPaused) {
+          instance.mHeld.push_back(it.mReply);
+        } else {
+          Take(index, instance.mRegisters.OnReply(it.mReply, mClock.Now()));
+        }
+      }
+      Tick();
+    }
+  }
+
+  void Tick()
+  {
+    for (std::size_t n = 0; n < mInstances.size(); ++n) {
+      if (!mInstances[n].mPaused) {
+        Take(n, mInstances[n].mRegisters.Tick(mClock.Now(), mClock.WallNow()));
+      }
+    }
+  }
+
+  std::optional<RegisterOutcome> Outcome(std::uint64_t aTicket) const
+  {
+    const auto it = mOutcomes.find(aTicket);
+    return it == mOutcomes.end() ? std::nullopt : std::optional<RegisterOutcome>(it->second);
+  }
+
+  FakeObjectStore mStore;
+  ManualClock mClock;
+  const Kind mKind;
+  AsyncStore mAsync;
+  std::map<std::uint64_t, RegisterOutcome> mOutcomes;
+
+private:
+  struct Instance
+  {
+    WriteOnceRegisters mRegisters;
+    bool mPaused = false;
+    std::vector<ObjectReply> mHeld;
+    std::size_t mLife = 0; /**< Replies to an earlier life are dropped. */
+  };
+
+  static constexpr std::size_t kLifeStride = 1000;
+
+  void Take(std::size_t aInstance, RegisterOutput aOutput)
+  {
+    for (const auto& it : aOutput.mCalls) {
+      mAsync.Send(aInstance + kLifeStride * mInstances[aInstance].mLife, it, mClock.Now());
+    }
+    for (auto& it : aOutput.mOutcomes) {
+      const bool first = mOutcomes.emplace(it.mTicket, it).second;
+      REQUIRE(first);
+    }
+  }
+
+  std::vector<Instance> mInstances;
+};
+
+RegisterWrite MakeWrite(const Fleet& aFleet, const std::string& aKey, const std::string& aValue)
+{
+  return { "claim/team/" + aKey, aValue, aFleet.mClock.WallNow() + 24h };
+}
+
+/** One write or read of a random run. */
+struct Operation
+{
+  std::string mKey;
+  std::string mValue;
+  bool mReadOnly = false;
+  bool mKeyWasKnown = false; /**< Some outcome had shown a durable value when a read began. */
+};
+
+/** Random writes, reads, pauses and deaths on three instances with every fault of the store.
+    The naive model is a map that keeps the first value that any outcome shows. */
+void RunRandom(Kind aKind, std::uint32_t aSeed)
+{
+  INFO("seed " << aSeed);
+  AsyncStore::Options faults;
+  faults.mLostPermille = 60;
+  faults.mLatePermille = 40;
+  faults.mUnavailablePermille = 30;
+  faults.mThrottledPermille = 30;
+  Fleet fleet(aKind, 3, aSeed, faults);
+  boost::random::mt19937 random(aSeed * 7919 + 1);
+  const auto draw = [&](std::uint32_t aHigh) {
+    return boost::random::uniform_int_distribution<std::uint32_t>(0, aHigh)(random);
+  };
+  std::map<std::uint64_t, Operation> operations;
+  std::map<std::string, std::string> model;
+  std::size_t seen = 0;
+  const auto check = [&] {
+    if (fleet.mOutcomes.size() == seen) {
+      return;
+    }
+    seen = fleet.mOutcomes.size();
+    for (const auto& [ticket, outcome] : fleet.mOutcomes) {
+      const auto& operation = operations.at(ticket);
+      if (outcome.mResult == RegisterResult::Won || outcome.mResult == RegisterResult::Lost) {
+        const auto it = model.emplace(operation.mKey, outcome.mValue).first;
+        REQUIRE(it->second == outcome.mValue);
+      }
+      if (outcome.mResult == RegisterResult::Won) {
+        REQUIRE(outcome.mValue == operation.mValue);
+      }
+      if (outcome.mResult == RegisterResult::Lost && !operation.mReadOnly) {
+        REQUIRE(outcome.mValue != operation.mValue);
+      }
+      if (outcome.mResult == RegisterResult::Absent) {
+        REQUIRE(operation.mReadOnly);
+        REQUIRE_FALSE(operation.mKeyWasKnown);
+      }
+    }
+  };
+  for (std::uint64_t ticket = 1; ticket <= 120; ++ticket) {
+    const auto instance = draw(2);
+    Operation operation{ "key-" + std::to_string(draw(39)), "value-" + std::to_string(ticket) };
+    operation.mReadOnly = draw(4) == 0;
+    operation.mKeyWasKnown = model.count(operation.mKey) != 0;
+    operations[ticket] = operation;
+    if (operation.mReadOnly) {
+      fleet.Read(instance, ticket, "claim/team/" + operation.mKey);
+    } else {
+      fleet.Write(instance, ticket, MakeWrite(fleet, operation.mKey, operation.mValue));
+    }
+    if (draw(29) == 0) {
+      fleet.Pause(draw(2));
+    }
+    if (draw(9) == 0) {
+      fleet.Resume(draw(2));
+    }
+    if (draw(39) == 0) {
+      fleet.Kill(draw(2));
+    }
+    fleet.Run(std::chrono::milliseconds(draw(12)));
+    check();
+  }
+  for (std::size_t n = 0; n < 3; ++n) {
+    fleet.Resume(n);
+  }
+  fleet.Run(1500ms);
+  check();
+
+  fleet.mAsync.SetOptions({});
+  fleet.Kill(0);
+  std::uint64_t next = 1000;
+  for (int n = 0; n < 40; ++n) {
+    operations[next] = { "key-" + std::to_string(n), {}, true, false };
+    fleet.Read(0, next++, "claim/team/key-" + std::to_string(n));
+  }
+  fleet.Run(300ms);
+  std::map<std::string, std::string> durable;
+  for (std::uint64_t ticket = 1000; ticket < next; ++ticket) {
+    const auto outcome = fleet.Outcome(ticket);
+    REQUIRE(outcome);
+    REQUIRE(
+      (outcome->mResult == RegisterResult::Lost || outcome->mResult == RegisterResult::Absent));
+    if (outcome->mResult == RegisterResult::Lost) {
+      durable[operations.at(ticket).mKey] = outcome->mValue;
+    }
+  }
+  for (const auto& [key, value] : model) {
+    REQUIRE(durable[key] == value);
+  }
+  for (const auto& [ticket, outcome] : fleet.mOutcomes) {
+    const auto& operation = operations.at(ticket);
+    if (outcome.mResult == RegisterResult::NotWritten && !operation.mReadOnly) {
+      REQUIRE(durable[operation.mKey] != operation.mValue);
+    }
+  }
+}
+
+constexpr std::uint32_t kSeeds = 300;
+
+} // namespace
+
+TEST_CASE("both register stores agree with a naive map under every store fault")
+{
+  const auto kind = GENERATE(Kind::ObjectPerRegister, Kind::Sharded);
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    RunRandom(kind, seed);
+  }
+}
+
+TEST_CASE("of two writers at once exactly one wins and the other learns its value")
+{
+  const auto kind = GENERATE(Kind::ObjectPerRegister, Kind::Sharded);
+  Fleet fleet(kind, 2, 1, {});
+  fleet.Write(0, 1, MakeWrite(fleet, "order", "a"));
+  fleet.Write(1, 2, MakeWrite(fleet, "order", "b"));
+  fleet.Run(100ms);
+  const auto first = *fleet.Outcome(1);
+  const auto second = *fleet.Outcome(2);
+  CHECK((first.mResult == RegisterResult::Won) != (second.mResult == RegisterResult::Won));
+  CHECK(first.mValue == second.mValue);
+}
+
+TEST_CASE("a write whose answer was lost is read back and counts as won")
+{
+  const auto kind = GENERATE(Kind::ObjectPerRegister, Kind::Sharded);
+  Fleet fleet(kind, 1, 1, {});
+  bool lost = false;
+  fleet.mStore.SetFaults([&](const ObjectCall& aCall) {
+    const bool put = std::holds_alternative<PutObject>(aCall.mOperation);
+    return put && !std::exchange(lost, lost || put) ? StoreFault::LostAfterEffect
+                                                    : StoreFault::None;
+  });
+  fleet.Write(0, 1, MakeWrite(fleet, "order", "a"));
+  fleet.Run(200ms);
+  CHECK(lost);
+  CHECK(fleet.Outcome(1)->mResult == RegisterResult::Won);
+}
+
+TEST_CASE("in an outage a write ends quickly with not-written, and works once the store is back")
+{
+  const auto kind = GENERATE(Kind::ObjectPerRegister, Kind::Sharded);
+  Fleet fleet(kind, 1, 1, {});
+  fleet.mStore.SetOutage(true);
+  fleet.Write(0, 1, MakeWrite(fleet, "order", "a"));
+  fleet.Run(20ms);
+  CHECK(fleet.Outcome(1)->mResult == RegisterResult::NotWritten);
+  fleet.mStore.SetOutage(false);
+  fleet.Run(100ms);
+  fleet.Write(0, 2, MakeWrite(fleet, "order", "b"));
+  fleet.Run(100ms);
+  CHECK(fleet.Outcome(2)->mResult == RegisterResult::Won);
+}
+
+TEST_CASE("writes that arrive during a commit join the next one")
+{
+  Fleet fleet(Kind::Sharded, 1, 1, {});
+  for (std::uint64_t n = 1; n <= 100; ++n) {
+    fleet.Write(0, n, MakeWrite(fleet, "order-" + std::to_string(n), "v"));
+  }
+  fleet.Run(200ms);
+  for (std::uint64_t n = 1; n <= 100; ++n) {
+    CHECK(fleet.Outcome(n)->mResult == RegisterResult::Won);
+  }
+  // Two shards: a commit for the first write, one for the rest, and the copies of sealed heads.
+  CHECK(fleet.mStore.Counts().mWrites <= 8);
+}
+
+TEST_CASE("an idle shard that is loaded needs one store call for a write")
+{
+  Fleet fleet(Kind::Sharded, 1, 1, {});
+  fleet.Write(0, 1, { "claim/team/x", "v", fleet.mClock.WallNow() + 24h });
+  fleet.Run(50ms);
+  const auto before = fleet.mStore.Calls();
+  fleet.Write(0, 2, { "outcome/team/x", "w", fleet.mClock.WallNow() + 24h });
+  fleet.Run(50ms);
+  CHECK(fleet.Outcome(2)->mResult == RegisterResult::Won);
+  CHECK(fleet.mStore.Calls() - before == 1);
+}
+
+TEST_CASE("segments are removed after the retention, and the chain goes on")
+{
+  Fleet fleet(Kind::Sharded, 2, 1, {});
+  std::uint64_t ticket = 0;
+  for (int day = 0; day < 5; ++day) {
+    for (int n = 0; n < 40; ++n) {
+      const auto name = std::to_string(day) + "-" + std::to_string(n);
+      fleet.Write(n % 2, ++ticket, MakeWrite(fleet, name, "v" + name));
+      fleet.Run(10ms);
+    }
+    fleet.Run(100ms);
+    fleet.mClock.Advance(25h);
+    fleet.Tick();
+  }
+  for (std::uint64_t n = 1; n <= ticket; ++n) {
+    REQUIRE(fleet.Outcome(n)->mResult == RegisterResult::Won);
+  }
+  // 200 registers filled about 50 segments; those of one day may remain in each of two shards.
+  CHECK(fleet.mStore.Keys("registers/").size() <= 16);
+  fleet.Write(0, 9001, MakeWrite(fleet, "0-0", "again"));
+  fleet.Run(100ms);
+  CHECK(fleet.Outcome(9001)->mResult == RegisterResult::Won);
+}
+
+TEST_CASE("a writer that pauses longer than the retention cannot bring back a removed segment")
+{
+  Fleet fleet(Kind::Sharded, 2, 3, {});
+  fleet.Write(1, 1, MakeWrite(fleet, "warm", "v"));
+  fleet.Run(50ms);
+  fleet.Pause(1);
+  std::uint64_t ticket = 100;
+  for (int day = 0; day < 3; ++day) {
+    for (int n = 0; n < 20; ++n) {
+      const auto name = std::to_string(day) + "-" + std::to_string(n);
+      fleet.Write(0, ++ticket, MakeWrite(fleet, name, "v"));
+      fleet.Run(10ms);
+    }
+    fleet.mClock.Advance(25h);
+    fleet.Tick();
+  }
+  fleet.Write(0, 5000, MakeWrite(fleet, "order", "first"));
+  fleet.Run(50ms);
+  fleet.Resume(1);
+  fleet.Write(1, 5001, MakeWrite(fleet, "order", "second"));
+  fleet.Run(200ms);
+  CHECK(fleet.Outcome(5000)->mResult == RegisterResult::Won);
+  CHECK(fleet.Outcome(5001)->mResult == RegisterResult::Lost);
+  CHECK(fleet.Outcome(5001)->mValue == "first");
+}
+
+TEST_CASE("an unreadable head refuses writes to its shard and says so")
+{
+  Fleet fleet(Kind::Sharded, 1, 1, {});
+  fleet.mStore.Overwrite("registers/0/head", "not json");
+  fleet.mStore.Overwrite("registers/1/head", "not json");
+  fleet.Write(0, 1, MakeWrite(fleet, "order", "a"));
+  fleet.Run(50ms);
+  CHECK(fleet.Outcome(1)->mResult == RegisterResult::NotWritten);
+}
