One prefix watch for the head and for rolls

Cause: the roll objects need the same watch as the head. Change: HeadWatch becomes PrefixWatch in a folder of its own.

--- a/modules/skylarkchute_bundles/follower/BundleFollower.cpp
+++ b/modules/skylarkchute_bundles/follower/BundleFollower.cpp
@@ -1,6 +1,7 @@
 #include "BundleFollower.h"
 
 #include "../events/BundleEvents.h"
+#include "../lifecycle/ObjectKeys.h"
 
 #include <algorithm>
 
@@ -16,12 +17,26 @@
 constexpr std::chrono::milliseconds kAskInterval{ 500 };
 constexpr std::size_t kMostHeadRequests = 64;
 
+WatchOptions WatchOptionsOf(const FollowerOptions& aOptions)
+{
+  WatchOptions options;
+  options.mPrefix = kHeadKey;
+  options.mPurpose = CallPurpose::Bundle;
+  options.mSeed = aOptions.mSeed;
+  options.mWait = aOptions.mWatchWait;
+  options.mRearmJitter = aOptions.mRearmJitter;
+  options.mRetryLeast = aOptions.mRetryLeast;
+  options.mRetryMost = aOptions.mRetryMost;
+  options.mCallTimeout = aOptions.mCallTimeout;
+  return options;
+}
+
 } // namespace
 
 BundleFollower::BundleFollower(const FollowerOptions& aOptions)
   : mOptions(aOptions)
   , mDelay(aOptions.mRetryLeast, aOptions.mRetryMost, aOptions.mSeed + 2)
-  , mWatch(aOptions)
+  , mWatch(WatchOptionsOf(aOptions))
   , mConfirmation(aOptions)
   , mFetcher(aOptions, mCache)
 {
@@ -90,7 +105,7 @@
   return Leave(aNow, std::move(output));
 }
 
-void BundleFollower::TakeSighting(const HeadSighting& aSighting,
+void BundleFollower::TakeSighting(const PrefixSighting& aSighting,
                                   TimePoint aNow,
                                   FollowerOutput& aOutput)
 {
@@ -98,16 +113,21 @@
     aOutput.mEvents.push_back({ &kHeadWatchFailed, {} });
     return;
   }
-  const auto confirmedAt = aSighting.mWatched ? aNow : aSighting.mSentAt;
-  if (aSighting.mChanged) {
-    TakePlatformHead(aSighting.mBody, confirmedAt, aNow, aOutput);
+  const auto entry =
+    std::find_if(aSighting.mEntries.begin(),
+                 aSighting.mEntries.end(),
+                 [](const ObjectEntry& aEntry) { return aEntry.mKey == kHeadKey; });
+  const auto seen = entry != aSighting.mEntries.end();
+  if (seen && !entry->mDeleted) {
+    TakePlatformHead(entry->mBody, aSighting.mHoldsAt, aNow, aOutput);
     return;
   }
-  if (aSighting.mAbsent && mHead) {
+  const auto absent = seen || aSighting.mComplete;
+  if (absent && mHead) {
     NoteHeadBehind(0, aOutput);
   }
   if (mHead && mKnownNewest <= mHead->mGeneration) {
-    mConfirmation.Confirm(confirmedAt);
+    mConfirmation.Confirm(aSighting.mHoldsAt);
   }
 }
 
--- a/modules/skylarkchute_bundles/follower/BundleFollower.h
+++ b/modules/skylarkchute_bundles/follower/BundleFollower.h
@@ -3,11 +3,12 @@
 #include "FollowerOptions.h"
 #include "FollowerOutput.h"
 #include "GenerationConfirmation.h"
-#include "HeadWatch.h"
 #include "PartCache.h"
 #include "PartFetcher.h"
 #include "PeerMessages.h"
 
+#include "../watch/PrefixWatch.h"
+
 #include <map>
 #include <memory>
 #include <optional>
@@ -79,7 +80,7 @@
 
   void Enter(TimePoint aNow);
   FollowerOutput Leave(TimePoint aNow, FollowerOutput aOutput);
-  void TakeSighting(const HeadSighting& aSighting, TimePoint aNow, FollowerOutput& aOutput);
+  void TakeSighting(const PrefixSighting& aSighting, TimePoint aNow, FollowerOutput& aOutput);
   void TakePlatformHead(const std::string& aBody,
                         TimePoint aConfirmedAt,
                         TimePoint aNow,
@@ -99,7 +100,7 @@
 
   FollowerOptions mOptions;
   RetryDelay mDelay;
-  HeadWatch mWatch;
+  PrefixWatch mWatch;
   GenerationConfirmation mConfirmation;
   PartCache mCache;
   PartFetcher mFetcher;
--- a/modules/skylarkchute_bundles/follower/PartFetcher.h
+++ b/modules/skylarkchute_bundles/follower/PartFetcher.h
@@ -3,7 +3,8 @@
 #include "FollowerOptions.h"
 #include "FollowerOutput.h"
 #include "PartCache.h"
-#include "RetryDelay.h"
+
+#include "../watch/RetryDelay.h"
 
 #include <optional>
 #include <vector>
--- a/modules/skylarkchute_bundles/follower/HeadWatch.h
+++ b/modules/skylarkchute_bundles/watch/PrefixWatch.h
@@ -1,38 +1,36 @@
 #pragma once
 
-#include "FollowerOptions.h"
 #include "RetryDelay.h"
+#include "WatchOptions.h"
 
 #include <optional>
-#include <string>
+#include <vector>
 
 namespace skylarkchute {
 
-/** What the platform said of the head. */
-struct HeadSighting
+/** What one reply said of the objects below a prefix. */
+struct PrefixSighting
 {
-  /** The call was sent no earlier than this and answered just before the reply. */
-  TimePoint mSentAt;
-  bool mFailed = false;  /**< No usable answer. */
-  bool mChanged = false; /**< mBody is the head; else nothing changed during a watch. */
-  bool mAbsent = false;  /**< There is no head. */
-  bool mWatched = false; /**< The answer of a watch, which holds for the time of the reply. */
-  std::string mBody;
+  bool mFailed = false;              /**< No usable answer. */
+  bool mComplete = false;            /**< mEntries is a list of all objects, not of changes. */
+  std::vector<ObjectEntry> mEntries; /**< Possibly none, when nothing changed. */
+  /** The answer holds for a time not before this. */
+  TimePoint mHoldsAt;
 };
 
-/** Keeps one call on the head in flight: a list to begin with, then one waiting watch after the
+/** Keeps one call on a prefix in flight: a list to begin with, then one waiting watch after the
     other, each armed after a random delay. A failed call starts again with a list. */
-class HeadWatch
+class PrefixWatch
 {
 public:
-  explicit HeadWatch(const FollowerOptions& aOptions);
+  explicit PrefixWatch(const WatchOptions& aOptions);
 
   /** Returns the next call when one is due.
       @param aId  the id to give it */
   std::optional<ObjectCall> Poll(std::uint64_t aId, TimePoint aNow);
 
   /** Takes in a reply; returns what it says, or nothing when it is not for the call in flight. */
-  std::optional<HeadSighting> OnReply(const ObjectReply& aReply, TimePoint aNow);
+  std::optional<PrefixSighting> OnReply(const ObjectReply& aReply, TimePoint aNow);
 
   /** Forgets the call in flight and lists at the next poll. */
   void Restart(TimePoint aNow);
@@ -41,10 +39,9 @@
   bool IsFailing() const { return mFailing; }
 
 private:
-  HeadSighting Fail(TimePoint aNow);
-  HeadSighting ReadReply(const ObjectReply& aReply, bool aWatched) const;
+  void Fail(TimePoint aNow);
 
-  FollowerOptions mOptions;
+  WatchOptions mOptions;
   RetryDelay mDelay;
   std::optional<std::uint64_t> mCallId;
   bool mCallIsWatch = false;
