The node: requests, rights, ledger, bundle and keys composed without I/O

Cause: every decision of an instance has to be testable with a manual clock. Change: systems over shared tables; a dispatch is held until its session is pinned and its claim is durable; tickets are accepted by their issuer only, asked by a peer call. Conclusion: the issuer of a ticket grants the right to run instead of being sent the body, so no request body passes between instances.

--- /dev/null
+++ b/modules/skylarkchute_node/Node.cpp
@@ -0,0 +1,355 @@
+#include "Node.h"
+
+#include "events/NodeEvents.h"
+#include "peers/PeerMethods.h"
+#include "requests/Refusals.h"
+#include "state/NodePass.h"
+#include "systems/BundleSystem.h"
+#include "systems/KeySystem.h"
+#include "systems/LedgerSystem.h"
+#include "systems/RequestSystem.h"
+#include "systems/RightSystem.h"
+
+namespace skylarkchute {
+
+/** The components of a node and the systems over them. */
+struct Node::State
+{
+  explicit State(NodeOptions aOptions)
+    : mParts(std::move(aOptions))
+    , mLedger(mParts)
+    , mRights(mParts, mLedger)
+    , mRequests(mParts, mLedger, mRights)
+    , mBundles(mParts, mRequests)
+    , mKeys(mParts)
+  {
+    mLedger.Connect(mRequests);
+    mRights.Connect(mRequests);
+  }
+
+  void StoreReplied(StoreUser aUser, const ObjectReply& aReply, NodePass& aPass);
+  void PeerReplied(const PeerCallTable::Origin& aOrigin, const PeerReply& aReply, NodePass& aPass);
+  std::optional<std::string> AnswerPeer(std::uint64_t aToken,
+                                        const std::string& aMethod,
+                                        const std::string& aMessage,
+                                        NodePass& aPass);
+  void TakeReports(NodePass& aPass);
+
+  NodeParts mParts;
+  LedgerSystem mLedger;
+  RightSystem mRights;
+  RequestSystem mRequests;
+  BundleSystem mBundles;
+  KeySystem mKeys;
+};
+
+void Node::State::StoreReplied(StoreUser aUser, const ObjectReply& aReply, NodePass& aPass)
+{
+  switch (aUser) {
+    case StoreUser::Follower:
+      mBundles.Take(mParts.mFollower.OnReply(aReply, aPass.Now()), aPass);
+      break;
+    case StoreUser::Registers:
+      mLedger.Take(mParts.mRegisters.OnReply(aReply, aPass.Now()), aPass);
+      break;
+    case StoreUser::Usage:
+      mLedger.Take(mParts.mUsage.OnReply(aReply, aPass.Now()), aPass);
+      break;
+    case StoreUser::Keys:
+      mKeys.StoreReplied(aReply, aPass);
+      break;
+    case StoreUser::Rolls:
+      break;
+  }
+}
+
+void Node::State::PeerReplied(const PeerCallTable::Origin& aOrigin,
+                              const PeerReply& aReply,
+                              NodePass& aPass)
+{
+  const auto envelope =
+    aReply.mOk ? ReadEnvelope(aReply.mFrom, aReply.mResult) : std::optional<PeerEnvelope>();
+  std::optional<std::string> message;
+  if (envelope) {
+    mBundles.Take(mParts.mFollower.OnPeerHead(envelope->mHead, aPass.Now()), aPass);
+    message = envelope->mMessage;
+  }
+  switch (aOrigin.mPurpose) {
+    case PeerPurpose::RegisterForward:
+    case PeerPurpose::ClaimQuestion:
+    case PeerPurpose::UsageBackup:
+      mLedger.PeerReplied(aOrigin, aReply.mVerdict, message, aPass);
+      break;
+    case PeerPurpose::BundleParts:
+      mBundles.PeerReplied(aOrigin.mLocalId, message, aPass);
+      break;
+    case PeerPurpose::TicketForward:
+      mRights.IssuerReplied(aOrigin.mRequest, message, aPass);
+      break;
+    case PeerPurpose::Evidence:
+    case PeerPurpose::Alert:
+    case PeerPurpose::Notice:
+      break;
+  }
+}
+
+std::optional<std::string> Node::State::AnswerPeer(std::uint64_t aToken,
+                                                   const std::string& aMethod,
+                                                   const std::string& aMessage,
+                                                   NodePass& aPass)
+{
+  if (aMethod == kRegisterWriteMethod) {
+    mLedger.Take(mParts.mRegisters.Serve(aToken, aMessage, aPass.Now()), aPass);
+    return std::nullopt;
+  }
+  if (aMethod == kClaimOutcomeMethod) {
+    return mLedger.AnswerClaimQuestion(aMessage);
+  }
+  if (aMethod == kBundlePartsMethod) {
+    return mBundles.AnswerPartsRequest(aMessage, aPass).value_or("{}");
+  }
+  if (aMethod == kUsageBackupMethod) {
+    const bool held = mParts.mUsage.OnBackup(aMessage, aPass.Now());
+    return std::string(held ? R"({"held":true})" : R"({"held":false})");
+  }
+  if (aMethod == kUsageDropMethod) {
+    mParts.mUsage.OnDrop(aMessage);
+    return std::string("{}");
+  }
+  if (aMethod == kTicketAcceptMethod) {
+    return mRights.AnswerTicketQuestion(aMessage, aPass.Wall());
+  }
+  if (aMethod == kTicketFinishMethod) {
+    return mRights.AnswerTicketFinish(aMessage);
+  }
+  return std::string("{}");
+}
+
+void Node::State::TakeReports(NodePass& aPass)
+{
+  const auto reports = mParts.mRouter.TakeReports(aPass.Now());
+  aPass.AddEvents(reports.mEvents);
+  for (const auto& it : reports.mRatingWishes) {
+    const auto record = mParts.mRequests.find(it.mRequest);
+    if (record != mParts.mRequests.end()) {
+      const auto& request = record->second;
+      aPass.Add(RateAction{ it, request.mRequest.mFacts.mClass, request.mTeam });
+    }
+  }
+}
+
+Node::Node(NodeOptions aOptions) : mState(std::make_unique<State>(std::move(aOptions))) {}
+
+Node::~Node() = default;
+
+NodeActions Node::Start(NodeTime aTime)
+{
+  NodePass pass(mState->mParts, aTime);
+  mState->mBundles.Take(mState->mParts.mFollower.Start(aTime.mNow), pass);
+  mState->mKeys.Tick(pass);
+  return pass.Take();
+}
+
+NodeActions Node::OnRequest(NodeRequest aRequest, NodeTime aTime)
+{
+  NodePass pass(mState->mParts, aTime);
+  mState->mRequests.Start(std::move(aRequest), pass);
+  mState->TakeReports(pass);
+  return pass.Take();
+}
+
+NodeActions Node::OnCallerLeft(const RequestId& aRequest, NodeTime aTime)
+{
+  NodePass pass(mState->mParts, aTime);
+  mState->mRequests.CallerLeft(aRequest, pass);
+  return pass.Take();
+}
+
+NodeActions Node::OnFirstToken(const RequestId& aRequest, const AttemptId& aAttempt, NodeTime aTime)
+{
+  mState->mParts.mRouter.ReportFirstToken(aRequest, aAttempt, aTime.mNow);
+  return {};
+}
+
+NodeActions Node::OnAttemptEnd(const RequestId& aRequest,
+                               const AttemptId& aAttempt,
+                               const AttemptOutcome& aOutcome,
+                               AnswerContent aContent,
+                               NodeTime aTime)
+{
+  NodePass pass(mState->mParts, aTime);
+  mState->mRequests.AttemptEnded(aRequest, aAttempt, aOutcome, std::move(aContent), pass);
+  mState->TakeReports(pass);
+  return pass.Take();
+}
+
+NodeActions Node::OnObjectReply(const ObjectReply& aReply, NodeTime aTime)
+{
+  NodePass pass(mState->mParts, aTime);
+  if (const auto origin = mState->mParts.mStoreCalls.Take(aReply.mId)) {
+    auto reply = aReply;
+    reply.mId = origin->mLocalId;
+    mState->StoreReplied(origin->mUser, reply, pass);
+  }
+  return pass.Take();
+}
+
+NodeActions Node::OnPeerReply(const PeerReply& aReply, NodeTime aTime)
+{
+  NodePass pass(mState->mParts, aTime);
+  if (const auto origin = mState->mParts.mPeerCalls.Take(aReply.mId)) {
+    mState->PeerReplied(*origin, aReply, pass);
+  }
+  return pass.Take();
+}
+
+NodeActions Node::OnPeerRequest(std::uint64_t aToken,
+                                const InstanceId& aFrom,
+                                const std::string& aMethod,
+                                const std::string& aParams,
+                                NodeTime aTime)
+{
+  NodePass pass(mState->mParts, aTime);
+  const auto envelope = ReadEnvelope(aFrom, aParams);
+  if (!envelope) {
+    pass.AddEvents({ { &kPeerMessageUnreadable, { { "from", aFrom.Value() } } } });
+    pass.Add(AnswerPeerAction{ aToken, std::nullopt });
+    return pass.Take();
+  }
+  mState->mBundles.Take(mState->mParts.mFollower.OnPeerHead(envelope->mHead, aTime.mNow), pass);
+  if (const auto answer = mState->AnswerPeer(aToken, aMethod, envelope->mMessage, pass)) {
+    pass.AddPeerAnswer(aToken, *answer);
+  }
+  return pass.Take();
+}
+
+NodeActions Node::OnInstances(const std::vector<EndpointRecord>& aEndpoints,
+                              const std::vector<PeerRecord>& aPeers,
+                              NodeTime aTime)
+{
+  NodePass pass(mState->mParts, aTime);
+  mState->mParts.mRouter.ApplyEndpoints(aEndpoints, aTime.mNow);
+  std::vector<FleetMember> fleet;
+  std::vector<InstanceId> members;
+  for (const auto& it : aPeers) {
+    fleet.push_back({ it.mId, it.mZone });
+    members.push_back(it.mId);
+  }
+  mState->mParts.mFollower.ApplyFleet(fleet);
+  if (!members.empty()) {
+    mState->mKeys.SetMembers(std::move(members));
+  }
+  mState->mLedger.SetPeers(aPeers, pass);
+  return pass.Take();
+}
+
+NodeActions Node::OnLoad(const LoadReport& aReport, NodeTime aTime)
+{
+  mState->mParts.mRouter.ApplyLoad(aReport, aTime.mNow);
+  return {};
+}
+
+NodeActions Node::OnRating(const RateAction& aRated, double aRating, NodeTime aTime)
+{
+  mState->mParts.mRouter.ReportRating(
+    aRated.mWish.mVersion, aRated.mClass, aRated.mTeam, aRating, aTime.mNow);
+  return {};
+}
+
+NodeActions Node::Tick(NodeTime aTime)
+{
+  NodePass pass(mState->mParts, aTime);
+  mState->mBundles.Take(mState->mParts.mFollower.Tick(aTime.mNow), pass);
+  mState->mRequests.Tick(pass);
+  mState->mLedger.Tick(pass);
+  mState->mKeys.Tick(pass);
+  mState->TakeReports(pass);
+  return pass.Take();
+}
+
+void Node::BeginLeaving()
+{
+  mState->mParts.mLeaving = true;
+}
+
+NodeActions Node::Flush(NodeTime aTime)
+{
+  NodePass pass(mState->mParts, aTime);
+  mState->mLedger.Take(mState->mParts.mUsage.Flush(aTime.mNow), pass);
+  return pass.Take();
+}
+
+bool Node::IsDrained() const
+{
+  return InFlight() == 0 && mState->mParts.mUsage.IsDrained();
+}
+
+std::size_t Node::InFlight() const
+{
+  return mState->mParts.mRequests.size() + mState->mParts.mUnconfirmed.size();
+}
+
+bool Node::IsReady() const
+{
+  return mState->mParts.mFollower.Current() != nullptr && !mState->mParts.mLeaving;
+}
+
+std::optional<std::vector<VersionId>> Node::VersionsFor(const std::string& aApiKey) const
+{
+  const auto* team = mState->mParts.mRouter.Authenticate(aApiKey);
+  if (team == nullptr) {
+    return std::nullopt;
+  }
+  const auto& bundle = *mState->mParts.mFollower.Current();
+  std::vector<VersionId> versions;
+  for (const auto& it : bundle.mVersions) {
+    if (bundle.Allows(*team, it)) {
+      versions.push_back(it.mId);
+    }
+  }
+  return versions;
+}
+
+std::variant<std::string, RefuseStep> Node::IssueTicket(const std::string& aApiKey, NodeTime aTime)
+{
+  const auto* team = mState->mParts.mRouter.Authenticate(aApiKey);
+  if (team == nullptr) {
+    return RefusalForUnknownKey();
+  }
+  if (mState->mParts.mLeaving) {
+    return RefusalForLeaving({});
+  }
+  const auto ticket = mState->mParts.mTickets.Issue(team->mName, aTime.mWall);
+  if (!ticket) {
+    return RefusalForNoKeyRing();
+  }
+  return *ticket;
+}
+
+Json::Value Node::StatusJson(NodeTime aTime) const
+{
+  const auto& parts = mState->mParts;
+  Json::Value status(Json::objectValue);
+  status["instance"] = parts.mOptions.mInstance.Value();
+  status["incarnation"] = parts.mOptions.mIncarnation.Value();
+  status["zone"] = parts.mOptions.mZone.Value();
+  status["generation"] = Json::UInt64(parts.mFollower.CurrentGeneration());
+  status["confirmed"] = !parts.mFollower.NeedsConfirmation(aTime.mNow);
+  status["ready"] = IsReady();
+  status["leaving"] = parts.mLeaving;
+  status["in_flight"] = Json::UInt64(InFlight());
+  if (const auto& head = parts.mFollower.Head()) {
+    status["bundle"] = head->mBundle.Value();
+  }
+  status["limits"] = Json::Value(Json::arrayValue);
+  for (const auto& it : parts.mRouter.Demand(aTime.mNow)) {
+    Json::Value limit(Json::objectValue);
+    limit["team"] = it.mTeam.Value();
+    limit["requests_per_second"] = it.mRequestsPerSecond;
+    limit["tokens_per_second"] = it.mTokensPerSecond;
+    status["limits"].append(limit);
+  }
+  return status;
+}
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_node/events/NodeEvents.h
+++ b/modules/skylarkchute_node/events/NodeEvents.h
@@ -7,13 +7,22 @@
 namespace skylarkchute {
 
 inline constexpr EventDescription kBundleInForce{
-  901, EventLevel::Info, "bundle-in-force", "Another generation of the bundle is in force here."
+  901,
+  EventLevel::Info,
+  "bundle-in-force",
+  "Another generation of the bundle is in force here."
 };
 inline constexpr EventDescription kRequestRefused{
-  902, EventLevel::Debug, "request-refused", "A request ended without an answer of an endpoint."
+  902,
+  EventLevel::Debug,
+  "request-refused",
+  "A request ended without an answer of an endpoint."
 };
 inline constexpr EventDescription kPeerMessageUnreadable{
-  903, EventLevel::Warning, "peer-message-unreadable", "A message of a peer could not be read."
+  903,
+  EventLevel::Warning,
+  "peer-message-unreadable",
+  "A message of a peer could not be read."
 };
 inline constexpr EventDescription kGenerationUnconfirmed{
   904,
--- a/modules/skylarkchute_node/peers/PeerCallTable.h
+++ b/modules/skylarkchute_node/peers/PeerCallTable.h
@@ -18,6 +18,7 @@
   Evidence,
   Alert,
   TicketForward,
+  Notice, /**< Needs no reply. */
 };
 
 /** Gives each call to a peer an id of its own and finds its purpose again. */
--- a/modules/skylarkchute_node/peers/PeerEnvelope.cpp
+++ b/modules/skylarkchute_node/peers/PeerEnvelope.cpp
@@ -21,8 +21,7 @@
   envelope.mHead.mFrom = aFrom;
   envelope.mHead.mGeneration = JsonCountField(*object, "generation");
   if (object->isMember("age_ms")) {
-    envelope.mHead.mConfirmedAge =
-      std::chrono::milliseconds(JsonIntegerField(*object, "age_ms"));
+    envelope.mHead.mConfirmedAge = std::chrono::milliseconds(JsonIntegerField(*object, "age_ms"));
   }
   envelope.mMessage = WriteJson((*object)["message"]);
   return envelope;
--- a/modules/skylarkchute_node/requests/RequestRecord.h
+++ b/modules/skylarkchute_node/requests/RequestRecord.h
@@ -24,12 +24,16 @@
   TeamName mTeam;
   std::uint32_t mPriority = 0;
   RunRight mRight = RunRight::NotNeeded;
-  bool mHasTicket = false;                 /**< The key is a ticket of this incarnation. */
-  std::optional<SessionId> mSessionToPin;  /**< The caller's own name, until it is pinned. */
-  std::optional<DispatchStep> mHeld;       /**< Waits for a pin or a claim. */
+  bool mHasTicket = false;                  /**< The key is a ticket. */
+  IncarnationId mTicketIssuer;              /**< Of the ticket. */
+  std::optional<SessionId> mSessionToPin;   /**< The caller's own name, until it is pinned. */
+  std::optional<DispatchStep> mHeld;        /**< Waits for a pin or a claim. */
   std::map<AttemptId, VersionId> mVersions; /**< Of each dispatched attempt. */
-  AttemptOutcome mLastOutcome;
+  std::map<AttemptId, AttemptOutcome> mOutcomes;
   AnswerContent mLastContent;
+  std::string mLastModel;              /**< `MODEL/NAME` or service of the last dispatch. */
+  bool mDispatched = false;            /**< At least one attempt was dispatched. */
+  std::optional<AttemptId> mFinishing; /**< Its answer ends once the usage record is safe. */
   bool mCallerLeft = false;
 };
 
--- /dev/null
+++ b/modules/skylarkchute_node/state/NodeParts.cpp
@@ -0,0 +1,74 @@
+#include "NodeParts.h"
+
+namespace skylarkchute {
+
+namespace {
+
+RouterOptions RouterOptionsOf(const NodeOptions& aOptions)
+{
+  RouterOptions options;
+  options.mZone = aOptions.mZone;
+  options.mInstance = aOptions.mInstance;
+  options.mSeed = aOptions.mSeed;
+  return options;
+}
+
+FollowerOptions FollowerOptionsOf(const NodeOptions& aOptions)
+{
+  FollowerOptions options;
+  options.mSelf = aOptions.mInstance;
+  options.mZone = aOptions.mZone;
+  options.mSeed = aOptions.mSeed;
+  options.mFreshness = aOptions.mFreshness;
+  return options;
+}
+
+RegisterService MakeRegisters(const NodeOptions& aOptions)
+{
+  RegisterOptions options;
+  options.mShards = aOptions.mShards;
+  RegisterService::Options service;
+  service.mSelf = aOptions.mInstance;
+  service.mShards = aOptions.mShards;
+  return RegisterService(service, WriteOnceRegisters(ShardedRegisters(options)));
+}
+
+ClaimDesk::Options ClaimOptionsOf(const NodeOptions& aOptions)
+{
+  ClaimDesk::Options options;
+  options.mSelf = aOptions.mIncarnation;
+  return options;
+}
+
+TicketOffice::Options TicketOptionsOf(const NodeOptions& aOptions)
+{
+  TicketOffice::Options options;
+  options.mSelf = aOptions.mIncarnation;
+  return options;
+}
+
+UsageLedger::Options UsageOptionsOf(const NodeOptions& aOptions)
+{
+  UsageLedger::Options options;
+  options.mSelf = aOptions.mInstance;
+  options.mIncarnation = aOptions.mIncarnation;
+  options.mZone = aOptions.mZone;
+  options.mMostBatchAge = aOptions.mUsageMaxAge;
+  return options;
+}
+
+} // namespace
+
+NodeParts::NodeParts(NodeOptions aOptions)
+  : mOptions(std::move(aOptions))
+  , mRouter(RouterOptionsOf(mOptions))
+  , mFollower(FollowerOptionsOf(mOptions))
+  , mRegisters(MakeRegisters(mOptions))
+  , mClaims(ClaimOptionsOf(mOptions))
+  , mPins(PinDesk::Options{})
+  , mTickets(TicketOptionsOf(mOptions), KeyRing())
+  , mUsage(UsageOptionsOf(mOptions))
+{
+}
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_node/stores/StoreCallTable.h
+++ b/modules/skylarkchute_node/stores/StoreCallTable.h
@@ -13,8 +13,7 @@
 {
   Follower,
   Rolls,
-  Claims,
-  Pins,
+  Registers,
   Usage,
   Keys,
 };
--- /dev/null
+++ b/modules/skylarkchute_node/systems/KeySystem.cpp
@@ -0,0 +1,84 @@
+#include "KeySystem.h"
+
+namespace skylarkchute {
+
+namespace {
+
+constexpr std::chrono::seconds kReadPeriod{ 30 };
+constexpr std::chrono::milliseconds kRetryPeriod{ 500 };
+constexpr std::chrono::hours kRotationPeriod{ 24 };
+constexpr std::size_t kMostKeys = 4; // Covers the session lifetime at one rotation a day.
+
+/** Returns when a key was made: its id is the time in seconds. */
+WallTime MadeAt(const SigningKey& aKey)
+{
+  return WallTime(std::chrono::seconds(std::strtoll(aKey.mId.c_str(), nullptr, 10)));
+}
+
+} // namespace
+
+KeySystem::KeySystem(NodeParts& aParts) : mParts(aParts), mMembers({ mParts.mOptions.mInstance }) {}
+
+void KeySystem::StoreReplied(const ObjectReply& aReply, NodePass& aPass)
+{
+  const auto stage = mStage;
+  mStage = Stage::Idle;
+  mNextRead = aPass.Now() + kRetryPeriod;
+  if (stage == Stage::Writing) {
+    return;
+  }
+  if (aReply.mStatus == ObjectStatus::NotFound) {
+    Write(KeyRing({ MakeKey(aPass.Wall()) }), std::nullopt, aPass);
+    return;
+  }
+  const auto ring =
+    aReply.mStatus == ObjectStatus::Ok ? KeyRing::Decode(aReply.mBody) : std::nullopt;
+  if (!ring) {
+    return;
+  }
+  Adopt(*ring);
+  mNextRead = aPass.Now() + kReadPeriod;
+  if (IsRotationDue(*ring, aPass.Wall())) {
+    Write(ring->Rotated(MakeKey(aPass.Wall()), kMostKeys), aReply.mVersion, aPass);
+  }
+}
+
+void KeySystem::Tick(NodePass& aPass)
+{
+  if (mStage != Stage::Idle || aPass.Now() < mNextRead) {
+    return;
+  }
+  mStage = Stage::Reading;
+  aPass.AddCalls(StoreUser::Keys,
+                 { ObjectCall{ mNextId++, CallPurpose::Status, GetObject{ kSessionKeyObject } } });
+}
+
+void KeySystem::Adopt(const KeyRing& aRing)
+{
+  mParts.mTokens = SessionTokens(aRing);
+  mParts.mTickets.SetKeys(aRing);
+}
+
+void KeySystem::Write(const KeyRing& aRing, std::optional<ObjectVersion> aIfMatch, NodePass& aPass)
+{
+  mStage = Stage::Writing;
+  const PutObject put{ kSessionKeyObject, aRing.Encode(), std::move(aIfMatch) };
+  aPass.AddCalls(StoreUser::Keys, { ObjectCall{ mNextId++, CallPurpose::Status, put } });
+}
+
+SigningKey KeySystem::MakeKey(WallTime aWall)
+{
+  const auto seconds =
+    std::chrono::duration_cast<std::chrono::seconds>(aWall.time_since_epoch()).count();
+  const auto number = std::to_string(++mMadeKeys);
+  return { std::to_string(seconds), HmacSha256Hex(mParts.mOptions.mSecretSeed, "key" + number) };
+}
+
+bool KeySystem::IsRotationDue(const KeyRing& aRing, WallTime aWall) const
+{
+  const auto owner = RendezvousOrder(kSessionKeyObject, mMembers, 1);
+  return owner.front() == mParts.mOptions.mInstance &&
+         aWall - MadeAt(aRing.Keys().front()) >= kRotationPeriod;
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_node/systems/KeySystem.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "../state/NodePass.h"
+
+namespace skylarkchute {
+
+/** Keeps the key ring of session tokens and tickets: reads it, makes it if absent, rotates it.
+
+    Any instance may rotate; the owner by rendezvous hashing does, to save calls. Both are
+    conditional writes, so two owners cost a conflict. Old keys still verify until they leave the
+    ring, which is longer than a session lives. */
+class KeySystem
+{
+public:
+  explicit KeySystem(NodeParts& aParts);
+
+  /** Takes in the live instances, this one among them. */
+  void SetMembers(std::vector<InstanceId> aMembers) { mMembers = std::move(aMembers); }
+
+  /** Takes in the outcome of a call of this system. */
+  void StoreReplied(const ObjectReply& aReply, NodePass& aPass);
+
+  /** Reads the ring when it is due. */
+  void Tick(NodePass& aPass);
+
+private:
+  enum class Stage
+  {
+    Idle,
+    Reading,
+    Writing,
+  };
+
+  void Adopt(const KeyRing& aRing);
+  void Write(const KeyRing& aRing, std::optional<ObjectVersion> aIfMatch, NodePass& aPass);
+  SigningKey MakeKey(WallTime aWall);
+  bool IsRotationDue(const KeyRing& aRing, WallTime aWall) const;
+
+  NodeParts& mParts;
+  std::vector<InstanceId> mMembers;
+  Stage mStage = Stage::Idle;
+  TimePoint mNextRead;
+  std::uint64_t mNextId = 1;
+  std::uint64_t mMadeKeys = 0;
+};
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_node/systems/RightSystem.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "../state/NodePass.h"
+
+namespace skylarkchute {
+
+class LedgerSystem;
+class RequestSystem;
+
+/** Obtains and ends the right to run a non-idempotent request at most once: by a claim, or by a
+    ticket, whose issuer alone decides. */
+class RightSystem
+{
+public:
+  RightSystem(NodeParts& aParts, LedgerSystem& aLedger);
+
+  /** Connects the system that gets the answers. Call before anything else. */
+  void Connect(RequestSystem& aRequests) { mRequests = &aRequests; }
+
+  /** Asks for the right to run a request; the answer goes to RequestSystem. */
+  void Ask(RequestRecord& aRecord, NodePass& aPass);
+
+  /** Must be called right before the one dispatch.
+      @returns whether the request may be dispatched: true at most once */
+  bool TakeDispatch(RequestRecord& aRecord);
+
+  /** Reports how the request ended. With NotRun this gives the right back. */
+  void End(RequestRecord& aRecord, const ClaimOutcome& aOutcome, NodePass& aPass);
+
+  /** Takes in the issuer's reply to a ticket.
+      @param aMessage  nothing when the issuer could not be asked */
+  void IssuerReplied(const RequestId& aRequest,
+                     const std::optional<std::string>& aMessage,
+                     NodePass& aPass);
+
+  /** Answers a peer that hands in a ticket of this incarnation. */
+  std::string AnswerTicketQuestion(const std::string& aMessage, WallTime aWall);
+
+  /** Takes in a peer's report of the end of a ticket's request. */
+  std::string AnswerTicketFinish(const std::string& aMessage);
+
+private:
+  void AskIssuer(RequestRecord& aRecord, const IncarnationId& aIssuer, NodePass& aPass);
+  void TellIssuer(const RequestRecord& aRecord, const ClaimOutcome& aOutcome, NodePass& aPass);
+  void TakeTicket(const RequestId& aRequest, const TicketAnswer& aAnswer, NodePass& aPass);
+  void AskClaim(RequestRecord& aRecord, NodePass& aPass);
+
+  NodeParts& mParts;
+  LedgerSystem& mLedger;
+  RequestSystem* mRequests = nullptr;
+};
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_routing/skylarkchute_routing.h
+++ b/modules/skylarkchute_routing/skylarkchute_routing.h
@@ -3,10 +3,10 @@
 /** Admission, limits, version and endpoint choice, retries, breakers: the routing decisions. */
 
 #include "Router.h"
+#include "events/RoutingEvents.h"
 #include "policy/cascade/CascadePolicy.h"
 #include "policy/health/VersionBreaker.h"
 #include "policy/health/VersionHealth.h"
-#include "events/RoutingEvents.h"
 #include "requests/AttemptOutcome.h"
 #include "requests/RequestFacts.h"
 #include "requests/RouterOptions.h"
