--- /dev/null
+++ b/modules/skylarkchute_bundles/evidence/VersionVerdict.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+
+namespace skylarkchute {
+
+/** What a sequential test says of a rolling version against the one that it replaces. */
+enum class VersionHealth
+{
+  Undecided,
+  Healthy,
+  Bad,
+};
+
+/** The health of a version, with the reason when it is bad. */
+struct VersionVerdict
+{
+  VersionHealth mHealth = VersionHealth::Undecided;
+  std::string mReason; /**< Such as `errors` or `latency`; empty unless bad. */
+  friend bool operator==(const VersionVerdict&, const VersionVerdict&) = default;
+};
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_bundles/json/JsonObject.cpp
+++ b/modules/skylarkchute_bundles/json/JsonObject.cpp
@@ -77,6 +77,11 @@
   return mValue[aMember];
 }
 
+JsonObject JsonObject::Object(const char* aMember)
+{
+  return JsonObject(mValue[aMember]);
+}
+
 void JsonObject::Refuse(const std::string& aMember)
 {
   mRefused.push_back(aMember);
--- a/modules/skylarkchute_bundles/json/JsonObject.h
+++ b/modules/skylarkchute_bundles/json/JsonObject.h
@@ -30,6 +30,9 @@
   /** Returns an array, empty when invalid. */
   const Json::Value& Array(const char* aMember);
 
+  /** Returns an object, an invalid one when there is none. */
+  JsonObject Object(const char* aMember);
+
   /** Makes the object invalid, naming the member. */
   void Refuse(const std::string& aMember);
 
--- /dev/null
+++ b/modules/skylarkchute_bundles/lifecycle/Proposal.cpp
@@ -0,0 +1,78 @@
+#include "Proposal.h"
+
+#include "../json/PartReferencesJson.h"
+
+namespace skylarkchute {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+/** Proposals are named by hand, so their identifiers are short; the objects are written once, so
+    that a second proposal of the same identifier would be refused. */
+constexpr std::size_t kProposalIdDigits = 16;
+
+} // namespace
+
+ProposalId IdentifyProposal(const BundleId& aBundle,
+                            Generation aBase,
+                            const OperatorName& aProposer)
+{
+  const auto text =
+    aBundle.Value() + "\n" + std::to_string(aBase) + "\n" + aProposer.Value() + "\n";
+  return ProposalId(Sha256Hex(text).substr(0, kProposalIdDigits));
+}
+
+std::string WriteProposal(const Proposal& aProposal)
+{
+  Json::Value value(Json::objectValue);
+  value["id"] = aProposal.mId.Value();
+  value["bundle"] = aProposal.mBundle.Value();
+  value["base"] = Json::UInt64(aProposal.mBase);
+  value["proposer"] = aProposal.mProposer.Value();
+  value["proposed-at"] = TimeToJson(aProposal.mProposedAt);
+  value["parts"] = PartsToJson(aProposal.mParts);
+  return WriteJson(value);
+}
+
+std::string WriteApproval(const Approval& aApproval)
+{
+  Json::Value value(Json::objectValue);
+  value["proposal"] = aApproval.mProposal.Value();
+  value["operator"] = aApproval.mOperator.Value();
+  value["approved-at"] = TimeToJson(aApproval.mApprovedAt);
+  return WriteJson(value);
+}
+
+leaf::result<Proposal> ReadProposal(const std::string& aJson)
+{
+  JsonObject object(aJson);
+  Proposal proposal;
+  proposal.mId = ProposalId(object.Text("id"));
+  proposal.mBundle = BundleId(object.Text("bundle"));
+  proposal.mBase = object.Count("base");
+  proposal.mProposer = OperatorName(object.Text("proposer"));
+  proposal.mProposedAt = object.Time("proposed-at");
+  proposal.mParts = ReadPartReferences(object);
+  if (proposal.mBundle != IdentifyBundle(proposal.mParts)) {
+    object.Refuse("bundle");
+  }
+  if (proposal.mId != IdentifyProposal(proposal.mBundle, proposal.mBase, proposal.mProposer)) {
+    object.Refuse("id");
+  }
+  BOOST_LEAF_CHECK(object.Check("proposal"));
+  return proposal;
+}
+
+leaf::result<Approval> ReadApproval(const std::string& aJson)
+{
+  JsonObject object(aJson);
+  Approval approval;
+  approval.mProposal = ProposalId(object.Text("proposal"));
+  approval.mOperator = OperatorName(object.Text("operator"));
+  approval.mApprovedAt = object.Time("approved-at");
+  BOOST_LEAF_CHECK(object.Check("approval"));
+  return approval;
+}
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_bundles/parts/BundleHead.cpp
+++ b/modules/skylarkchute_bundles/parts/BundleHead.cpp
@@ -1,6 +1,6 @@
 #include "BundleHead.h"
 
-#include "../json/JsonObject.h"
+#include "../json/PartReferencesJson.h"
 
 #include <algorithm>
 
@@ -13,19 +13,6 @@
 constexpr const char* kRollKind = "roll";
 constexpr const char* kRevertKind = "revert";
 
-std::vector<PartReference> ReadParts(JsonObject& aObject)
-{
-  std::vector<PartReference> parts;
-  for (const auto& it : aObject.Array("parts")) {
-    JsonObject entry(it);
-    parts.push_back({ entry.Text("name"), entry.Text("hash") });
-    if (!entry.Check("part")) {
-      aObject.Refuse("parts");
-    }
-  }
-  return parts;
-}
-
 std::vector<RollOrigin> ReadRolls(JsonObject& aObject)
 {
   std::vector<RollOrigin> rolls;
@@ -76,13 +63,7 @@
   Json::Value value(Json::objectValue);
   value["generation"] = Json::UInt64(aHead.mGeneration);
   value["bundle"] = aHead.mBundle.Value();
-  value["parts"] = Json::Value(Json::arrayValue);
-  for (const auto& it : aHead.mParts) {
-    Json::Value part(Json::objectValue);
-    part["name"] = it.mName;
-    part["hash"] = it.mHash;
-    value["parts"].append(std::move(part));
-  }
+  value["parts"] = PartsToJson(aHead.mParts);
   value["rolls"] = Json::Value(Json::arrayValue);
   for (const auto& it : aHead.mRolls) {
     Json::Value roll(Json::objectValue);
@@ -108,7 +89,7 @@
   BundleHead head;
   head.mGeneration = object.Count("generation");
   head.mBundle = BundleId(object.Text("bundle"));
-  head.mParts = ReadParts(object);
+  head.mParts = ReadPartReferences(object);
   head.mRolls = ReadRolls(object);
   head.mKind = ReadKind(object);
   head.mProposal = ProposalId(object.Text("proposal"));
--- a/modules/skylarkchute_bundles/parts/BundleHead.h
+++ b/modules/skylarkchute_bundles/parts/BundleHead.h
@@ -37,10 +37,10 @@
   std::vector<PartReference> mParts;
   std::vector<RollOrigin> mRolls; /**< One for each roll of the bundle. */
   AcceptanceKind mKind = AcceptanceKind::Roll;
-  ProposalId mProposal; /**< Empty after a revert. */
+  ProposalId mProposal; /**< The proposal that holds the bundle, after a revert too. */
   OperatorName mOperator;
-  std::vector<OperatorName> mApprovers;
-  Generation mRevertedTo = 0; /**< The generation whose bundle a revert put in force. */
+  std::vector<OperatorName> mApprovers; /**< Empty after a revert. */
+  Generation mRevertedTo = 0;           /**< The generation whose bundle a revert put in force. */
   WallTime mAcceptedAt;
 
   /** Returns since when the plan of a roll stands, 0 when the bundle has no such roll. */
