--- /dev/null
+++ b/benchmarks/skylarkchute_bench/Main.cpp
@@ -0,0 +1,93 @@
+#include "report/Bounds.h"
+#include "run/FleetRun.h"
+#include "run/RunCommandLine.h"
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace po = boost::program_options;
+using namespace skylarkchute;
+
+namespace {
+
+constexpr int kExitBroken = 1;
+constexpr int kExitUsage = 2;
+
+std::string ReadFile(const std::string& aPath)
+{
+  std::ifstream in(aPath);
+  return { std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>() };
+}
+
+int RunOnce(const RunOptions& aOptions, const std::string& aCsvPath)
+{
+  const auto workload = MakeWorkload(aOptions.mWorkload, aOptions.Load());
+  const auto run = FleetRun(*workload, aOptions).Run();
+  const auto figures = FiguresOf(*workload, run);
+  std::cout << "skylarkchute_bench " << aOptions.Text() << "\n" << FigureTable(figures);
+  for (const auto& it : run.mBrokenPromises) {
+    std::cout << "broken promise: " << it << "\n";
+  }
+  if (!aCsvPath.empty()) {
+    const bool isNew = ReadFile(aCsvPath).empty();
+    std::ofstream out(aCsvPath, std::ios::app);
+    out << (isNew ? CsvHeading() : "") << CsvLines(aOptions, figures);
+  }
+  return run.mBrokenPromises.empty() ? 0 : kExitBroken;
+}
+
+int CheckFile(const std::string& aBoundsPath, const std::string& aKnownRedPath)
+{
+  const auto knownRed = aKnownRedPath.empty() ? std::string() : ReadFile(aKnownRedPath);
+  return boost::leaf::try_handle_all(
+    [&]() -> boost::leaf::result<int> {
+      BOOST_LEAF_AUTO(bounds, ParseBounds(ReadFile(aBoundsPath)));
+      int failed = 0;
+      int known = 0;
+      for (const auto& it : CheckBounds(bounds, knownRed)) {
+        std::cout << it.Text() << "\n";
+        failed += !it.mHolds && !it.mKnownRed ? 1 : 0;
+        known += !it.mHolds && it.mKnownRed ? 1 : 0;
+      }
+      std::cout << "bounds: " << bounds.size() << " checked, " << failed << " failed, " << known
+                << " known red\n";
+      return failed == 0 ? 0 : kExitBroken;
+    },
+    [](const Faults& aFaults) {
+      std::cerr << aFaults.Text();
+      return kExitUsage;
+    },
+    [] { return kExitUsage; });
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  try {
+    po::options_description all("skylarkchute_bench: figures of the routing decisions");
+    auto add = all.add_options();
+    add("help", "this text");
+    add("csv", po::value<std::string>()->default_value(""), "append the figures to this file");
+    add("bounds", po::value<std::string>(), "check every bound of this file instead of one run");
+    add("known-red",
+        po::value<std::string>()->default_value(""),
+        "list of known failures; bounds named there do not fail the check");
+    all.add(RunDescription());
+    po::variables_map values;
+    po::store(po::parse_command_line(aCount, aArguments, all), values);
+    po::notify(values);
+    if (values.count("help") > 0) {
+      std::cout << all << "Exit codes: 0 fine, 1 a bound or promise is broken, 2 wrong usage.\n";
+      return 0;
+    }
+    if (values.count("bounds") > 0) {
+      return CheckFile(values["bounds"].as<std::string>(), values["known-red"].as<std::string>());
+    }
+    return RunOnce(RunFrom(values), values["csv"].as<std::string>());
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "\n";
+    return kExitUsage;
+  }
+}
--- /dev/null
+++ b/benchmarks/skylarkchute_bench/routers/SimpleRouter.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "BenchRouter.h"
+
+#include <boost/random/mersenne_twister.hpp>
+
+#include <map>
+#include <set>
+
+namespace skylarkchute {
+
+/** A router without retries, cascades, limits, breakers or learning.
+
+    Takes the first version that the team may use, and any live endpoint. It keeps the promises and
+    nothing more: the baseline of every figure and the other side of the differential tests. */
+class SimpleRouter final : public BenchRouter
+{
+public:
+  enum class VersionRule
+  {
+    First,  /**< The first allowed version of the bundle. */
+    Random, /**< Any allowed version. */
+  };
+
+  enum class EndpointOrder
+  {
+    Random,
+    LeastLoaded, /**< By the last load report, however old. */
+  };
+
+  struct Rules
+  {
+    VersionRule mVersion = VersionRule::First;
+    EndpointOrder mEndpoint = EndpointOrder::Random;
+  };
+
+  SimpleRouter(Rules aRules, std::uint64_t aSeed);
+
+  RouterSteps ApplyBundle(std::shared_ptr<const Bundle> aBundle, TimePoint aNow) override;
+  void ApplyEndpoints(const std::vector<EndpointRecord>& aEndpoints, TimePoint aNow) override;
+  void ApplyLoad(const LoadReport& aReport, TimePoint aNow) override;
+  void ApplyRolls(const std::vector<RollShare>& aShares, TimePoint aNow) override;
+  void ApplyAlert(const RoutingAlert& aAlert, TimePoint aNow) override;
+  void ApplyFleetEvidence(const std::vector<VersionEvidence>&, TimePoint) override {}
+  void ApplyLimitShares(const std::vector<LimitShare>&, TimePoint) override {}
+  RouterSteps Start(const RequestFacts& aFacts, TimePoint aNow) override;
+  void ReportFirstToken(const RequestId&, const AttemptId&, TimePoint) override {}
+  RouterSteps ReportOutcome(const RequestId& aRequest,
+                            const AttemptId& aAttempt,
+                            const AttemptOutcome& aOutcome,
+                            TimePoint aNow) override;
+  void ReportRating(const RatedAnswer&, TimePoint) override {}
+  RouterSteps ReportHeldRating(const RequestId&,
+                               const AttemptId&,
+                               std::optional<double>,
+                               TimePoint) override;
+  RouterSteps Tick(TimePoint aNow) override;
+  RouterReports TakeReports(TimePoint) override { return {}; }
+
+private:
+  const Team* FindTeam(const std::string& aApiKey);
+  std::optional<VersionId> ChooseVersion(const RequestFacts& aFacts, const Team& aTeam);
+  bool IsUsable(const Team& aTeam, const VersionId& aVersion) const;
+  double ShareOf(const VersionId& aVersion) const;
+  const EndpointRecord* ChooseEndpoint(const std::optional<ServiceName>& aService,
+                                       const std::string& aLabel);
+  std::size_t Draw(std::size_t aCount);
+  double DrawShare();
+
+  Rules mRules;
+  boost::random::mt19937_64 mRandom;
+  std::shared_ptr<const Bundle> mBundle;
+  std::vector<EndpointRecord> mEndpoints;
+  std::map<EndpointId, LoadReport> mLoads;
+  std::map<RollName, RollShare> mShares;
+  std::set<VersionId> mStopped;
+  std::map<std::string, TeamName> mTeamsByKey;
+};
+
+} // namespace skylarkchute
--- /dev/null
+++ b/benchmarks/skylarkchute_bench/run/FleetRun.cpp
@@ -0,0 +1,457 @@
+#include "FleetRun.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace skylarkchute {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickPeriod{ 50 };
+constexpr std::chrono::milliseconds kLoadPeriod{ 500 };
+constexpr std::chrono::milliseconds kLoadLag{ 500 };
+constexpr std::chrono::seconds kListPeriod{ 1 };
+constexpr std::chrono::seconds kListLag{ 2 };
+constexpr std::chrono::seconds kEvidencePeriod{ 1 };
+constexpr std::chrono::milliseconds kEvidenceLag{ 500 };
+constexpr std::chrono::milliseconds kAlertLag{ 200 };
+constexpr std::chrono::milliseconds kRatingLatency{ 150 };
+constexpr std::chrono::seconds kSlowRating{ 10 };
+constexpr std::chrono::milliseconds kHoldLimit{ 1000 };
+constexpr std::chrono::seconds kDrain{ 200 };
+constexpr double kTokensPerPrice = 1000;
+constexpr double kCancelledCost = 0.5;
+/** One request in so many crashes its endpoint while the fault lasts. */
+constexpr std::uint64_t kCrashEvery = 2000;
+
+const VersionId kRolling{ kRollingVersion };
+
+bool IsFailure(AttemptEnd aEnd)
+{
+  return aEnd == AttemptEnd::Failed || aEnd == AttemptEnd::TimedOut || aEnd == AttemptEnd::Broken;
+}
+
+} // namespace
+
+FleetRun::FleetRun(const Workload& aWorkload, const RunOptions& aOptions)
+  : mWorkload(aWorkload)
+  , mOptions(aOptions)
+  , mStart(mTimeline.Now())
+  , mTruth(aWorkload, aOptions.mFaults, aOptions.mSeed)
+  , mField(mTimeline, aWorkload, aOptions.mFaults, mTruth)
+  , mSource(aWorkload, aOptions)
+  , mPromises(aWorkload)
+{
+  mRun.mLength = aOptions.mLength;
+  for (const auto& it : aWorkload.mEndpoints) {
+    mRun.mSlots += it.mRecord.mKind == EndpointKind::Engine ? it.mSlots : 0;
+  }
+  mField.SetCalls({
+    [this](const AttemptId& aAttempt) { OnStarted(aAttempt); },
+    [this](const AttemptId& aAttempt) { OnFirstToken(aAttempt); },
+    [this](const AttemptId& aAttempt, const AttemptOutcome& aOutcome) {
+      OnEnded(aAttempt, aOutcome);
+    },
+  });
+}
+
+RunRecord FleetRun::Run()
+{
+  StartInstances();
+  ScheduleArrival();
+  Every(kTickPeriod, [this] {
+    mField.Tick();
+    for (std::size_t n = 0; n < mInstances.size(); ++n) {
+      Handle(n, mInstances[n].mRouter->Tick(mTimeline.Now()));
+    }
+  });
+  Every(kLoadPeriod, [this] { SendLoads(); });
+  Every(kListPeriod, [this] { SendEndpoints(); });
+  Every(kEvidencePeriod, [this] { SendEvidence(); });
+  mTimeline.RunUntil(mStart + mOptions.mLength + kDrain);
+
+  mPromises.OnEnd(mRun);
+  mRun.mBrokenPromises = mPromises.Broken();
+  mRun.mEndpointCrashes = mField.CrashCount();
+  for (const auto& it : mInstances) {
+    if (it.mFirstError && it.mLastRolling && mRun.mExposure.mFirstStop) {
+      const auto stop = *it.mLastRolling - *it.mFirstError;
+      mRun.mExposure.mLocalStops.push_back(std::max(stop, std::chrono::microseconds(0)));
+    }
+  }
+  return std::move(mRun);
+}
+
+std::chrono::microseconds FleetRun::Elapsed() const
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(mTimeline.Now() - mStart);
+}
+
+void FleetRun::StartInstances()
+{
+  const auto now = mTimeline.Now();
+  mLastEndpoints = mField.Records();
+  const auto count = static_cast<double>(mWorkload.mInstances);
+  std::vector<LimitShare> shares;
+  for (const auto& it : mWorkload.mBundle->mTeams) {
+    shares.push_back({ it.mName, it.mRequestsPerSecond / count, it.mTokensPerSecond / count });
+  }
+  for (std::size_t n = 0; n < mWorkload.mInstances; ++n) {
+    Instance instance;
+    const auto& zone = mWorkload.mZones[n % mWorkload.mZones.size()];
+    instance.mRouter = MakeBenchRouter(
+      mOptions.mRouter, zone, InstanceId("entry-" + std::to_string(n)), mOptions.mSeed * 100 + n);
+    assert(instance.mRouter != nullptr);
+    instance.mRouter->ApplyBundle(mWorkload.mBundle, now);
+    instance.mRouter->ApplyEndpoints(mLastEndpoints, now);
+    instance.mRouter->ApplyRolls({ { RollName(kRoll), mOptions.mStagePercent, false } }, now);
+    instance.mRouter->ApplyLimitShares(shares, now);
+    for (const auto& it : mField.Loads()) {
+      instance.mRouter->ApplyLoad(it, now);
+    }
+    mInstances.push_back(std::move(instance));
+  }
+}
+
+void FleetRun::ScheduleArrival()
+{
+  const auto next = mSource.NextArrival();
+  if (next < mOptions.mLength) {
+    mTimeline.After(next - Elapsed(), [this] { Arrive(); });
+  }
+}
+
+void FleetRun::Arrive()
+{
+  auto request = mSource.Next(mStart);
+  PrepareSession(request);
+  const auto& facts = request.mFacts;
+  auto& record = request.mRecord;
+  AttemptFacts truth{ record.mNumber, 0, record.mClass, record.mTeam, {}, {}, {} };
+  if (!facts.mService) {
+    truth.mVersion = VersionId(kCheapVersion);
+    record.mCheapWouldBeGood = mTruth.IsGood(truth, record.mArrival);
+    truth.mVersion = VersionId(kDearVersion);
+    record.mDearWouldBeGood = mTruth.IsGood(truth, record.mArrival);
+  }
+  const auto instance = record.mInstance;
+  mRequests[facts.mId] = mRun.mRequests.size();
+  mRun.mRequests.push_back(record);
+  mCompletionTokens.push_back(request.mCompletionTokens);
+  Handle(instance, mInstances[instance].mRouter->Start(facts, mTimeline.Now()));
+  ScheduleArrival();
+}
+
+void FleetRun::PrepareSession(SourcedRequest& aRequest)
+{
+  auto& session = aRequest.mRecord.mSession;
+  if (!session) {
+    return;
+  }
+  if (mUnpinned.count(*session) > 0) {
+    session.reset();
+    return;
+  }
+  aRequest.mFacts.mPinnedVersion = mPromises.PinOf(*session);
+  if (!aRequest.mFacts.mPinnedVersion) {
+    aRequest.mFacts.mStartsSession = true;
+    mUnpinned[*session] = aRequest.mFacts.mId;
+  }
+}
+
+void FleetRun::Every(std::chrono::microseconds aPeriod, const std::function<void()>& aCall)
+{
+  mTimeline.After(aPeriod, [this, aPeriod, aCall] {
+    aCall();
+    Every(aPeriod, aCall);
+  });
+}
+
+void FleetRun::Handle(std::size_t aInstance, const RouterSteps& aSteps)
+{
+  for (const auto& step : aSteps) {
+    std::visit([&](const auto& aStep) { Carry(aInstance, aStep); }, step);
+  }
+  TakeReports(aInstance);
+}
+
+void FleetRun::Carry(std::size_t, const RefuseStep& aStep)
+{
+  auto& record = mRun.mRequests[mRequests.at(aStep.mRequest)];
+  mPromises.OnRefuse(record, aStep);
+  record.mVerdict = aStep.mVerdict;
+  record.mRefusal = aStep.mReason;
+  if (record.mSession) {
+    mPromises.EndSession(*record.mSession);
+  }
+  End(record);
+}
+
+void FleetRun::Carry(std::size_t, const WaitStep&) {}
+
+void FleetRun::Carry(std::size_t aInstance, const DispatchStep& aStep)
+{
+  const auto index = mRequests.at(aStep.mRequest);
+  auto& record = mRun.mRequests[index];
+  const auto leaving = mField.LeavingSince(aStep.mEndpoint);
+  const auto leavingFor =
+    leaving ? std::chrono::duration_cast<std::chrono::microseconds>(mTimeline.Now() - *leaving)
+            : std::chrono::microseconds(0);
+  mPromises.OnDispatch(record, aStep, leavingFor);
+  if (record.mSession) {
+    mUnpinned.erase(*record.mSession);
+  }
+  ++record.mAttempts;
+  record.mHedges += aStep.mHedge ? 1 : 0;
+
+  FieldAttempt attempt;
+  attempt.mStep = aStep;
+  attempt.mFacts = { record.mNumber,
+                     record.mAttempts,
+                     record.mClass,
+                     record.mTeam,
+                     aStep.mVersion,
+                     aStep.mEndpoint,
+                     {} };
+  attempt.mFacts.mZone = mField.ZoneOf(aStep.mEndpoint);
+  attempt.mCompletionTokens = mCompletionTokens[index];
+  attempt.mPromptTokens = record.mTokens - attempt.mCompletionTokens;
+  attempt.mCrashes = mOptions.mFaults.Has(FaultKind::CrashingRequest, Elapsed()) &&
+                     record.mNumber % kCrashEvery == 0;
+  OpenAttempt open;
+  open.mRequest = index;
+  open.mFacts = attempt.mFacts;
+  open.mSent = Elapsed();
+  CountExposure(aInstance, open);
+  mAttempts[aStep.mAttempt] = open;
+  mField.Send(attempt);
+}
+
+void FleetRun::Carry(std::size_t, const CancelStep& aStep)
+{
+  const auto it = mAttempts.find(aStep.mAttempt);
+  if (it == mAttempts.end() || it->second.mComplete) {
+    return;
+  }
+  auto& record = mRun.mRequests[it->second.mRequest];
+  record.mCost +=
+    kCancelledCost * PriceOf(it->second.mFacts.mVersion) * record.mTokens / kTokensPerPrice;
+  mField.Cancel(aStep.mAttempt);
+  mAttempts.erase(it);
+}
+
+void FleetRun::Carry(std::size_t, const FinishStep& aStep)
+{
+  auto& record = mRun.mRequests[mRequests.at(aStep.mRequest)];
+  const auto it = mAttempts.find(aStep.mAttempt);
+  const bool isWhole = it != mAttempts.end() && it->second.mComplete &&
+                       it->second.mFacts.mRequestNumber == record.mNumber;
+  mPromises.OnFinish(record, isWhole);
+  record.mAnswered = true;
+  record.mVerdict = aStep.mVerdict;
+  if (isWhole) {
+    record.mServedVersion = it->second.mFacts.mVersion;
+    record.mGood = mTruth.IsGood(it->second.mFacts, record.mArrival);
+  }
+  End(record);
+  const auto target = mWorkload.mBundle->FindClass(record.mClass)->mTargetLatency;
+  record.mInTime = record.mEnd <= 2 * target + std::chrono::seconds(5);
+  if (record.mInTime && isWhole && record.mServedVersion) {
+    mRun.mUsefulSlotTime += it->second.mDuration;
+  }
+}
+
+void FleetRun::End(RequestRecord& aRecord)
+{
+  aRecord.mEnded = true;
+  aRecord.mEnd = Elapsed() - aRecord.mArrival;
+  if (aRecord.mSession) {
+    mUnpinned.erase(*aRecord.mSession);
+  }
+}
+
+void FleetRun::OnStarted(const AttemptId& aAttempt)
+{
+  auto& open = mAttempts.at(aAttempt);
+  ++mRun.mRequests[open.mRequest].mRuns;
+  open.mSent = Elapsed();
+}
+
+void FleetRun::OnFirstToken(const AttemptId& aAttempt)
+{
+  const auto& open = mAttempts.at(aAttempt);
+  auto& record = mRun.mRequests[open.mRequest];
+  if (record.mFirstToken.count() == 0) {
+    record.mFirstToken = Elapsed() - record.mArrival;
+  }
+  const RequestId id("r" + std::to_string(record.mNumber));
+  mInstances[record.mInstance].mRouter->ReportFirstToken(id, aAttempt, mTimeline.Now());
+}
+
+void FleetRun::OnEnded(const AttemptId& aAttempt, const AttemptOutcome& aOutcome)
+{
+  auto& open = mAttempts.at(aAttempt);
+  CountOutcome(open, aOutcome);
+  const auto& record = mRun.mRequests[open.mRequest];
+  const auto instance = record.mInstance;
+  const RequestId id("r" + std::to_string(record.mNumber));
+  auto& router = *mInstances[instance].mRouter;
+  Handle(instance, router.ReportOutcome(id, aAttempt, aOutcome, mTimeline.Now()));
+}
+
+void FleetRun::CountOutcome(OpenAttempt& aAttempt, const AttemptOutcome& aOutcome)
+{
+  auto& record = mRun.mRequests[aAttempt.mRequest];
+  aAttempt.mComplete = aOutcome.mEnd == AttemptEnd::Complete;
+  aAttempt.mDuration = Elapsed() - aAttempt.mSent;
+  if (aAttempt.mComplete) {
+    record.mCost += PriceOf(aAttempt.mFacts.mVersion) * record.mTokens / kTokensPerPrice;
+  }
+  const auto kind = mOptions.mFaults.mKind;
+  const bool isSilent = kind == FaultKind::BadQuality || kind == FaultKind::BadLatency;
+  auto& instance = mInstances[record.mInstance];
+  const bool isHit = mTruth.IsHitByBadVersion(aAttempt.mFacts, Elapsed());
+  if (isHit && (isSilent || IsFailure(aOutcome.mEnd))) {
+    instance.mFirstError = instance.mFirstError.value_or(Elapsed());
+    mRun.mExposure.mFirstError = mRun.mExposure.mFirstError.value_or(Elapsed());
+  }
+}
+
+void FleetRun::CountExposure(std::size_t aInstance, const OpenAttempt& aAttempt)
+{
+  if (aAttempt.mFacts.mVersion != kRolling) {
+    return;
+  }
+  mRun.mExposure.mLastDispatch = Elapsed();
+  mInstances[aInstance].mLastRolling = Elapsed();
+  if (mTruth.IsHitByBadVersion(aAttempt.mFacts, Elapsed())) {
+    ++mRun.mExposure.mRequests;
+    mRun.mExposure.mTokens += mRun.mRequests[aAttempt.mRequest].mTokens;
+  }
+}
+
+void FleetRun::TakeReports(std::size_t aInstance)
+{
+  auto& instance = mInstances[aInstance];
+  auto reports = instance.mRouter->TakeReports(mTimeline.Now());
+  instance.mEvidence.insert(
+    instance.mEvidence.end(), reports.mEvidence.begin(), reports.mEvidence.end());
+  for (const auto& it : reports.mAlerts) {
+    SpreadAlert(aInstance, it);
+  }
+  for (const auto& it : reports.mRatingWishes) {
+    Rate(aInstance, it);
+  }
+}
+
+void FleetRun::SpreadAlert(std::size_t aInstance, const RoutingAlert& aAlert)
+{
+  if (aAlert.mVersion) {
+    mPromises.OnStopped(aInstance, *aAlert.mVersion);
+    ++mRun.mExposure.mStops;
+    mRun.mExposure.mFirstStop = mRun.mExposure.mFirstStop.value_or(Elapsed());
+  }
+  mTimeline.After(kAlertLag, [this, aInstance, aAlert] {
+    for (std::size_t n = 0; n < mInstances.size(); ++n) {
+      if (n == aInstance) {
+        continue;
+      }
+      mInstances[n].mRouter->ApplyAlert(aAlert, mTimeline.Now());
+      if (aAlert.mVersion) {
+        mPromises.OnStopped(n, *aAlert.mVersion);
+      }
+    }
+  });
+}
+
+void FleetRun::Rate(std::size_t aInstance, const RatingWish& aWish)
+{
+  const auto open = mAttempts.find(aWish.mAttempt);
+  if (open == mAttempts.end()) {
+    return;
+  }
+  const auto& facts = open->second.mFacts;
+  const auto arrival = mRun.mRequests[open->second.mRequest].mArrival;
+  const bool good = mTruth.IsGood(facts, arrival);
+  const bool isDown = mOptions.mFaults.Has(FaultKind::RaterDown, Elapsed());
+  const bool isSlow = mOptions.mFaults.Has(FaultKind::RaterSlow, Elapsed());
+  const double rating = mTruth.Rating(good, facts.mRequestNumber, Elapsed());
+  if (aWish.mHeld) {
+    const bool inTime = !isDown && !isSlow;
+    const auto known = inTime ? std::optional<double>(rating) : std::nullopt;
+    mTimeline.After(inTime ? kRatingLatency : kHoldLimit, [this, aInstance, aWish, known] {
+      auto& router = *mInstances[aInstance].mRouter;
+      Handle(aInstance,
+             router.ReportHeldRating(aWish.mRequest, aWish.mAttempt, known, mTimeline.Now()));
+    });
+    return;
+  }
+  if (isDown) {
+    return;
+  }
+  const RatedAnswer answer{ aWish.mVersion, facts.mClass, facts.mTeam, rating };
+  const std::chrono::microseconds delay = isSlow ? kSlowRating : kRatingLatency;
+  mTimeline.After(delay, [this, aInstance, answer] {
+    mInstances[aInstance].mRouter->ReportRating(answer, mTimeline.Now());
+    TakeReports(aInstance);
+  });
+}
+
+void FleetRun::SendLoads()
+{
+  const auto loads = mField.Loads();
+  mTimeline.After(kLoadLag, [this, loads] {
+    for (auto& instance : mInstances) {
+      for (const auto& it : loads) {
+        instance.mRouter->ApplyLoad(it, mTimeline.Now());
+      }
+    }
+  });
+}
+
+void FleetRun::SendEndpoints()
+{
+  auto records = mField.Records();
+  const auto isSame = [](const EndpointRecord& aLeft, const EndpointRecord& aRight) {
+    return aLeft.mId == aRight.mId && aLeft.mLeaving == aRight.mLeaving;
+  };
+  if (std::equal(records.begin(), records.end(), mLastEndpoints.begin(), isSame)) {
+    return;
+  }
+  mLastEndpoints = records;
+  mTimeline.After(kListLag, [this, records] {
+    for (auto& it : mInstances) {
+      it.mRouter->ApplyEndpoints(records, mTimeline.Now());
+    }
+  });
+}
+
+void FleetRun::SendEvidence()
+{
+  for (std::size_t n = 0; n < mInstances.size(); ++n) {
+    auto evidence = std::move(mInstances[n].mEvidence);
+    mInstances[n].mEvidence.clear();
+    if (evidence.empty()) {
+      continue;
+    }
+    mTimeline.After(kEvidenceLag, [this, n, evidence = std::move(evidence)] {
+      for (std::size_t other = 0; other < mInstances.size(); ++other) {
+        if (other != n) {
+          mInstances[other].mRouter->ApplyFleetEvidence(evidence, mTimeline.Now());
+          TakeReports(other);
+        }
+      }
+    });
+  }
+}
+
+double FleetRun::PriceOf(const std::optional<VersionId>& aVersion) const
+{
+  if (!aVersion) {
+    return 0;
+  }
+  const auto* version = mWorkload.mBundle->FindVersion(*aVersion);
+  return mWorkload.mBundle->FindModel(version->mModel)->mPricePerThousandTokens;
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/benchmarks/skylarkchute_bench/run/FleetRun.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "EndpointField.h"
+#include "PromiseChecker.h"
+#include "RequestSource.h"
+#include "RunOptions.h"
+#include "routers/BenchRouter.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace skylarkchute {
+
+/** Runs one workload through several routers on one clock, and keeps what happened. */
+class FleetRun
+{
+public:
+  /** @param aWorkload  must outlive the run */
+  FleetRun(const Workload& aWorkload, const RunOptions& aOptions);
+
+  /** Runs to the end of the options' length, then until every deadline has passed. */
+  RunRecord Run();
+
+private:
+  struct Instance
+  {
+    std::unique_ptr<BenchRouter> mRouter;
+    std::vector<VersionEvidence> mEvidence; /**< Not sent to the others yet. */
+    std::optional<std::chrono::microseconds> mFirstError;
+    std::optional<std::chrono::microseconds> mLastRolling;
+  };
+
+  struct OpenAttempt
+  {
+    std::size_t mRequest = 0; /**< Index into the records. */
+    AttemptFacts mFacts;
+    std::chrono::microseconds mSent{ 0 };
+    bool mComplete = false;
+    std::chrono::microseconds mDuration{ 0 };
+  };
+
+  std::chrono::microseconds Elapsed() const;
+  void StartInstances();
+  void ScheduleArrival();
+  void Arrive();
+  void PrepareSession(SourcedRequest& aRequest);
+  void Every(std::chrono::microseconds aPeriod, const std::function<void()>& aCall);
+
+  void Handle(std::size_t aInstance, const RouterSteps& aSteps);
+  void Carry(std::size_t aInstance, const RefuseStep& aStep);
+  void Carry(std::size_t aInstance, const WaitStep& aStep);
+  void Carry(std::size_t aInstance, const DispatchStep& aStep);
+  void Carry(std::size_t aInstance, const CancelStep& aStep);
+  void Carry(std::size_t aInstance, const FinishStep& aStep);
+  void End(RequestRecord& aRecord);
+
+  void OnStarted(const AttemptId& aAttempt);
+  void OnFirstToken(const AttemptId& aAttempt);
+  void OnEnded(const AttemptId& aAttempt, const AttemptOutcome& aOutcome);
+  void CountOutcome(OpenAttempt& aAttempt, const AttemptOutcome& aOutcome);
+  void CountExposure(std::size_t aInstance, const OpenAttempt& aAttempt);
+
+  void TakeReports(std::size_t aInstance);
+  void SpreadAlert(std::size_t aInstance, const RoutingAlert& aAlert);
+  void Rate(std::size_t aInstance, const RatingWish& aWish);
+  void SendLoads();
+  void SendEndpoints();
+  void SendEvidence();
+
+  double PriceOf(const std::optional<VersionId>& aVersion) const;
+
+  const Workload& mWorkload;
+  RunOptions mOptions;
+  Timeline mTimeline;
+  TimePoint mStart;
+  Truth mTruth;
+  EndpointField mField;
+  RequestSource mSource;
+  PromiseChecker mPromises;
+  std::vector<Instance> mInstances;
+  RunRecord mRun;
+  std::vector<std::uint32_t> mCompletionTokens;
+  std::unordered_map<RequestId, std::size_t> mRequests;
+  std::unordered_map<AttemptId, OpenAttempt> mAttempts;
+  std::map<std::size_t, RequestId> mUnpinned; /**< First requests of sessions, not sent yet. */
+  std::vector<EndpointRecord> mLastEndpoints;
+};
+
+} // namespace skylarkchute
