--- a/modules/skylarkchute_routing/skylarkchute_routing.h
+++ b/modules/skylarkchute_routing/skylarkchute_routing.h
@@ -4,6 +4,9 @@
 
 #include "Router.h"
 #include "events/RoutingEvents.h"
+#include "policy/cascade/CascadePolicy.h"
+#include "policy/health/VersionBreaker.h"
+#include "policy/health/VersionHealth.h"
 #include "requests/AttemptOutcome.h"
 #include "requests/RequestFacts.h"
 #include "requests/RouterOptions.h"
