Cascades and version health decide on versions

Cause: the router picked models by the known quality and never left a bad version by itself.

Change: the cascade policy chooses the model, may hold an answer for its rating and replace it; the version breaker and the sequential test of version health keep requests off a rolling version and stop it, and peers are told by an alert. ReportHeldRating is new.

--- a/modules/skylarkchute_routing/Router.cpp
+++ b/modules/skylarkchute_routing/Router.cpp
@@ -11,14 +11,18 @@
 {
   explicit State(RouterOptions aOptions)
     : mTables(std::move(aOptions))
-    , mEvidence(mTables)
+    , mHealth(mTables)
+    , mCascades(mTables)
+    , mEvidence(mTables, mHealth)
     , mLimits(mTables)
     , mPools(mTables)
-    , mFlow(mTables, mEvidence, mLimits, mPools)
+    , mFlow(mTables, mEvidence, mHealth, mCascades, mLimits, mPools)
   {
   }
 
   RouterTables mTables;
+  HealthSystem mHealth;
+  CascadeSystem mCascades;
   EvidenceSystem mEvidence;
   LimitSystem mLimits;
   PoolSystem mPools;
@@ -41,6 +45,7 @@
   tables.mVersions.Replace(tables.mBundle->mVersions);
   tables.mVersionsChanged = true;
   mState->mPools.OnVersionsReplaced();
+  mState->mHealth.ApplyBundle();
   mState->mLimits.ApplyBundle(aNow);
   mState->mFlow.SweepVersions(aNow, steps);
   mState->mPools.DropUnused();
@@ -82,9 +87,10 @@
   }
 }
 
-void Router::ApplyFleetEvidence(const std::vector<VersionEvidence>& /*aEvidence*/,
-                                TimePoint /*aNow*/)
+void Router::ApplyFleetEvidence(const std::vector<VersionEvidence>& aEvidence, TimePoint aNow)
 {
+  mState->mEvidence.OnFleetEvidence(aEvidence, aNow);
+  mState->mCascades.OnFleetEvidence(aEvidence, aNow);
 }
 
 void Router::ApplyLimitShares(const std::vector<LimitShare>& aShares, TimePoint aNow)
@@ -151,6 +157,17 @@
                           TimePoint aNow)
 {
   mState->mEvidence.OnRating(aVersion, aClass, aTeam, aRating, aNow);
+  mState->mCascades.OnRating(aVersion, aClass, aTeam, aRating, aNow);
+}
+
+RouterSteps Router::ReportHeldRating(const RequestId& aRequest,
+                                     const AttemptId& aAttempt,
+                                     double aRating,
+                                     TimePoint aNow)
+{
+  RouterSteps steps;
+  mState->mFlow.OnHeldRating(aRequest, aAttempt, aRating, aNow, steps);
+  return steps;
 }
 
 RouterSteps Router::CallerLeft(const RequestId& aRequest, TimePoint aNow)
--- a/modules/skylarkchute_routing/Router.h
+++ b/modules/skylarkchute_routing/Router.h
@@ -73,13 +73,21 @@
                             const AttemptOutcome& aOutcome,
                             TimePoint aNow);
 
-  /** Reports a rating, 0 to 1, of an answer. */
+  /** Reports a rating, 0 to 1, of an answer that was not held. */
   void ReportRating(const VersionId& aVersion,
                     const ClassName& aClass,
                     const TeamName& aTeam,
                     double aRating,
                     TimePoint aNow);
 
+  /** Reports a rating, 0 to 1, of an answer that a RatingWish names as held. The caller must not
+      see a held answer before its FinishStep; an escalation may replace it, or fall back to it.
+      A rating that comes after RouterOptions::mRatingWait is dropped. */
+  RouterSteps ReportHeldRating(const RequestId& aRequest,
+                               const AttemptId& aAttempt,
+                               double aRating,
+                               TimePoint aNow);
+
   /** Drops a request whose caller left; returns cancel steps for its attempts. */
   RouterSteps CallerLeft(const RequestId& aRequest, TimePoint aNow);
 
--- a/modules/skylarkchute_routing/requests/RouterOptions.h
+++ b/modules/skylarkchute_routing/requests/RouterOptions.h
@@ -29,8 +29,8 @@
   /** Deadline of a request that names none. */
   std::chrono::milliseconds mDefaultTimeout{ 60000 };
 
-  /** Share of the answers of a cascade that are offered to the rating service, 0 to 1. */
-  double mRatingSampleShare = 0.1;
+  /** Longest time that an answer is held back for its rating. */
+  std::chrono::milliseconds mRatingWait{ 500 };
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/systems/EvidenceSystem.cpp
+++ b/modules/skylarkchute_routing/systems/EvidenceSystem.cpp
@@ -20,7 +20,7 @@
                                   const AttemptRow& aAttempt,
                                   const ZoneName& aZone,
                                   const AttemptOutcome& aOutcome,
-                                  TimePoint /*aNow*/)
+                                  TimePoint aNow)
 {
   if (!aAttempt.mVersion) {
     return;
@@ -41,19 +41,30 @@
   if (aOutcome.mEnd == AttemptEnd::Complete) {
     evidence.mLatencySum += aOutcome.mLatency;
   }
+  mHealth.OnAttemptEnd(aRow, aAttempt, aZone, aOutcome, aNow);
+  StopBad();
 }
 
 void EvidenceSystem::OnRating(const VersionId& aVersion,
                               const ClassName& aClass,
                               const TeamName& aTeam,
                               double aRating,
-                              TimePoint /*aNow*/)
+                              TimePoint aNow)
 {
+  const bool good = aRating >= kGoodRating;
   auto& evidence = Count({ aVersion, aClass, aTeam, ZoneName() });
   ++evidence.mRated;
-  if (aRating >= kGoodRating) {
-    ++evidence.mRatedGood;
+  evidence.mRatedGood += good ? 1 : 0;
+  mHealth.OnRating({ aVersion, aTeam, ZoneName(), good }, aNow);
+  StopBad();
+}
+
+void EvidenceSystem::OnFleetEvidence(const std::vector<VersionEvidence>& aEvidence, TimePoint aNow)
+{
+  for (const auto& it : aEvidence) {
+    mHealth.OnFleetEvidence(it, aNow);
   }
+  StopBad();
 }
 
 void EvidenceSystem::Stop(const VersionId& aVersion, const std::string& aReason, bool aTellPeers)
@@ -81,6 +92,13 @@
   return evidence;
 }
 
+void EvidenceSystem::StopBad()
+{
+  for (const auto& it : mHealth.Bad()) {
+    Stop(it.mVersion, it.mReason, true);
+  }
+}
+
 VersionEvidence& EvidenceSystem::Count(const Key& aKey)
 {
   auto& evidence = mCounts[aKey];
--- a/modules/skylarkchute_routing/systems/EvidenceSystem.h
+++ b/modules/skylarkchute_routing/systems/EvidenceSystem.h
@@ -2,6 +2,7 @@
 
 #include "../requests/AttemptOutcome.h"
 #include "../tables/RouterTables.h"
+#include "HealthSystem.h"
 
 #include <map>
 #include <string>
@@ -13,7 +14,9 @@
 class EvidenceSystem
 {
 public:
-  explicit EvidenceSystem(RouterTables& aTables) : mTables(aTables) {}
+  EvidenceSystem(RouterTables& aTables, HealthSystem& aHealth) : mTables(aTables), mHealth(aHealth)
+  {
+  }
 
   /** Counts the end of an attempt at an endpoint of the zone. */
   void OnAttemptEnd(const RequestRow& aRow,
@@ -29,6 +32,9 @@
                 double aRating,
                 TimePoint aNow);
 
+  /** Takes in the counts of other instances. */
+  void OnFleetEvidence(const std::vector<VersionEvidence>& aEvidence, TimePoint aNow);
+
   /** Stops a version on this instance.
       @param aTellPeers  whether the stop is news to the peers */
   void Stop(const VersionId& aVersion, const std::string& aReason, bool aTellPeers);
@@ -47,8 +53,10 @@
   };
 
   VersionEvidence& Count(const Key& aKey);
+  void StopBad();
 
   RouterTables& mTables;
+  HealthSystem& mHealth;
   std::map<Key, VersionEvidence> mCounts;
 };
 
--- a/modules/skylarkchute_routing/systems/Refusals.h
+++ b/modules/skylarkchute_routing/systems/Refusals.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../requests/AttemptOutcome.h"
 #include "../requests/RouterStep.h"
 
 #include <string>
@@ -42,4 +43,8 @@
            std::move(aReason), std::move(aDetail), aRetryAfter };
 }
 
+/** Returns a refusal of a request whose last attempt ended so.
+    @param aWorst  verdict over all attempts */
+RefuseStep FailureRefusal(const RequestId& aRequest, AttemptEnd aEnd, Verdict aWorst);
+
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/systems/RequestFlow.cpp
+++ b/modules/skylarkchute_routing/systems/RequestFlow.cpp
@@ -2,6 +2,7 @@
 
 #include "Refusals.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace skylarkchute {
@@ -15,14 +16,17 @@
 
 RequestFlow::RequestFlow(RouterTables& aTables,
                          EvidenceSystem& aEvidence,
+                         HealthSystem& aHealth,
+                         CascadeSystem& aCascades,
                          LimitSystem& aLimits,
                          PoolSystem& aPools)
   : mTables(aTables)
   , mEvidence(aEvidence)
+  , mCascades(aCascades)
   , mLimits(aLimits)
   , mPools(aPools)
   , mAdmission(aTables)
-  , mVersions(aTables)
+  , mVersions(aTables, aPools, aHealth, aCascades)
   , mEndpoints(aTables)
   , mQueues(aTables, aPools, mEndpoints)
   , mRetries(aTables)
@@ -103,15 +107,30 @@
   mLimits.Settle(*row, aOutcome);
   if (aOutcome.mEnd == AttemptEnd::Complete) {
     mTables.mCounters.mHedgesWon += wasHedge ? 1 : 0;
-    Finish(*row, aAttempt, aSteps);
+    OnAnswer(*row, aAttempt, aOutcome, aNow, aSteps);
   } else if (aOutcome.mEnd == AttemptEnd::Rejected) {
-    Finish(*row, aAttempt, aSteps);
+    Finish(*row, row->mHeldAttempt ? *row->mHeldAttempt : aAttempt, aSteps);
   } else if (row->mLive.empty()) {
     OnFailure(*row, aOutcome, aNow, aSteps);
   }
   DrainPool(pool, aNow, aSteps);
 }
 
+void RequestFlow::OnHeldRating(const RequestId& aRequest,
+                               const AttemptId& aAttempt,
+                               double aRating,
+                               TimePoint aNow,
+                               RouterSteps& aSteps)
+{
+  SweepVersions(aNow, aSteps);
+  auto* row = mTables.mRequests.Find(aRequest);
+  if (row == nullptr || row->mPhase != RequestPhase::Held || *row->mHeldAttempt != aAttempt) {
+    return;
+  }
+  mEvidence.OnRating(*row->mVersion, row->mFacts.mClass, row->mTeam, aRating, aNow);
+  DecideHeld(*row, aRating, aNow, aSteps);
+}
+
 void RequestFlow::OnCallerLeft(const RequestId& aRequest, TimePoint aNow, RouterSteps& aSteps)
 {
   auto* row = mTables.mRequests.Find(aRequest);
@@ -148,8 +167,13 @@
   CheckDeadlines(aNow, aSteps);
   for (const auto& it : mTables.mRequests.Ids()) {
     auto* row = mTables.mRequests.Find(it);
-    if (row != nullptr && row->mPhase == RequestPhase::Delayed && row->mNotBefore <= aNow) {
+    if (row == nullptr) {
+      continue;
+    }
+    if (row->mPhase == RequestPhase::Delayed && row->mNotBefore <= aNow) {
       Place(*row, aNow, aSteps);
+    } else if (row->mPhase == RequestPhase::Held && row->mHeldUntil <= aNow) {
+      DecideHeld(*row, std::nullopt, aNow, aSteps);
     }
   }
   std::vector<PoolKey> pools;
@@ -178,7 +202,8 @@
   mTables.mVersionsChanged = false;
   for (const auto& it : mTables.mRequests.Ids()) {
     auto* row = mTables.mRequests.Find(it);
-    if (row == nullptr || !row->mVersion || !row->mLive.empty()) {
+    if (row == nullptr || !row->mVersion || !row->mLive.empty() ||
+        row->mPhase == RequestPhase::Held) {
       continue;
     }
     if (mVersions.IsUsable(*row, *row->mVersion)) {
@@ -223,6 +248,7 @@
     return true;
   }
   if (aRow.mVersion && mVersions.IsUsable(aRow, *aRow.mVersion)) {
+    aRow.mPool = *aRow.mVersion;
     return true;
   }
   auto decision = mVersions.Choose(aRow, aNow);
@@ -268,6 +294,56 @@
   aSteps.push_back(mAttempts.Open(aRow, aEndpoint, kind, aNow));
 }
 
+void RequestFlow::OnAnswer(RequestRow& aRow,
+                           const AttemptId& aAttempt,
+                           const AttemptOutcome& aOutcome,
+                           TimePoint aNow,
+                           RouterSteps& aSteps)
+{
+  const bool hold = aRow.mHold && !aOutcome.mCallerSawBytes;
+  if (aRow.mVersion && (hold || mCascades.WantsRating(aRow, *aRow.mVersion))) {
+    mTables.mReports.mRatingWishes.push_back({ aRow.mFacts.mId, aAttempt, *aRow.mVersion, hold });
+  }
+  if (!hold) {
+    Finish(aRow, aAttempt, aSteps);
+    return;
+  }
+  CancelLive(aRow, aSteps);
+  aRow.mHold = false;
+  aRow.mHeldAttempt = aAttempt;
+  aRow.mHeldUntil = std::min(aNow + mTables.mOptions.mRatingWait, aRow.mFacts.mDeadline);
+  aRow.mPhase = RequestPhase::Held;
+  aSteps.push_back(WaitStep{ aRow.mFacts.mId });
+}
+
+void RequestFlow::DecideHeld(RequestRow& aRow,
+                             std::optional<double> aRating,
+                             TimePoint aNow,
+                             RouterSteps& aSteps)
+{
+  const auto models = mVersions.CascadeModels(aRow, aNow);
+  const auto* team = mTables.mBundle->FindTeam(aRow.mTeam);
+  std::optional<CascadeChoice> choice;
+  if (team != nullptr && !models.empty()) {
+    choice = mCascades.AfterAnswer(aRow, models, aRating, aNow);
+  }
+  std::optional<VersionId> version;
+  if (choice) {
+    version = mVersions.ChooseOfModel(*team, choice->mModel, aNow);
+  }
+  if (!version) {
+    Finish(aRow, *aRow.mHeldAttempt, aSteps);
+    return;
+  }
+  aRow.mHold = choice->mHoldForRating;
+  aRow.mVersion = version;
+  aRow.mEscalationPending = true;
+  aRow.mHedgeUsed = false;
+  aRow.mPhase = RequestPhase::New;
+  aRow.mTried.clear();
+  Place(aRow, aNow, aSteps);
+}
+
 void RequestFlow::OnFailure(RequestRow& aRow,
                             const AttemptOutcome& aOutcome,
                             TimePoint aNow,
@@ -276,7 +352,7 @@
   const auto expected = mQueues.ExpectedService(aRow, aNow);
   const auto at = mRetries.RetryAt(aRow, aOutcome, expected, aNow);
   if (!at) {
-    Refuse(aRow, RefusalFor(aRow, aOutcome, aNow), aSteps);
+    Refuse(aRow, RefusalFor(aRow, aOutcome.mEnd, aNow), aSteps);
     return;
   }
   ++aRow.mRetries;
@@ -286,11 +362,11 @@
   aSteps.push_back(WaitStep{ aRow.mFacts.mId });
 }
 
-void RequestFlow::Finish(RequestRow& aRow, const AttemptId& aAttempt, RouterSteps& aSteps)
+void RequestFlow::Finish(RequestRow& aRow, AttemptId aAttempt, RouterSteps& aSteps)
 {
   ++mTables.mCounters.mFinished;
   CancelLive(aRow, aSteps);
-  aSteps.push_back(FinishStep{ aRow.mFacts.mId, aAttempt, aRow.mWorstVerdict });
+  aSteps.push_back(FinishStep{ aRow.mFacts.mId, std::move(aAttempt), aRow.mWorstVerdict });
   End(aRow);
 }
 
@@ -306,6 +382,10 @@
 void RequestFlow::Refuse(RequestRow& aRow, RefuseStep aStep, RouterSteps& aSteps)
 {
   mQueues.Leave(aRow);
+  if (aRow.mHeldAttempt) {
+    Finish(aRow, *aRow.mHeldAttempt, aSteps);
+    return;
+  }
   aStep.mVerdict = WorseVerdict(aStep.mVerdict, aRow.mWorstVerdict);
   if (aStep.mVerdict == Verdict::NotRun) {
     mLimits.Refund(aRow);
@@ -338,7 +418,7 @@
       aSteps.push_back(CancelStep{ it, attempt });
     }
     ++mTables.mCounters.mDeadlinesMissed;
-    Refuse(row, RefusalFor(row, outcome, aNow), aSteps);
+    Refuse(row, RefusalFor(row, outcome.mEnd, aNow), aSteps);
   }
 }
 
@@ -367,43 +447,9 @@
   }
 }
 
-RefuseStep RequestFlow::RefusalFor(const RequestRow& aRow,
-                                   const AttemptOutcome& aOutcome,
-                                   TimePoint aNow)
+RefuseStep RequestFlow::RefusalFor(const RequestRow& aRow, AttemptEnd aEnd, TimePoint aNow)
 {
-  RefuseStep step;
-  step.mRequest = aRow.mFacts.mId;
-  step.mVerdict = aRow.mWorstVerdict;
-  step.mHttpStatus = aRow.mWorstVerdict == Verdict::NotRun ? 503 : 502;
-  switch (aOutcome.mEnd) {
-    case AttemptEnd::Refused:
-      step.mReason = refusal::kEndpointRefused;
-      step.mDetail = "The endpoint has no room.";
-      break;
-    case AttemptEnd::ConnectFailed:
-      step.mReason = refusal::kEndpointUnreachable;
-      step.mDetail = "The endpoint could not be reached.";
-      break;
-    case AttemptEnd::TimedOut:
-      step.mReason = refusal::kTimeout;
-      step.mDetail = "The deadline passed before the answer was complete.";
-      step.mHttpStatus = 504;
-      break;
-    case AttemptEnd::Broken:
-      step.mReason = refusal::kAnswerBroken;
-      step.mDetail = "The connection to the endpoint ended within the answer.";
-      break;
-    case AttemptEnd::Cancelled:
-      step.mReason = refusal::kCancelled;
-      step.mDetail = "The attempt was cancelled.";
-      break;
-    case AttemptEnd::Complete:
-    case AttemptEnd::Rejected:
-    case AttemptEnd::Failed:
-      step.mReason = refusal::kEndpointError;
-      step.mDetail = "The endpoint answered with an error.";
-      break;
-  }
+  auto step = FailureRefusal(aRow.mFacts.mId, aEnd, aRow.mWorstVerdict);
   if (step.mVerdict == Verdict::NotRun) {
     step.mRetryAfter = mQueues.RetryAfter(aRow.mPool, aNow);
   }
--- a/modules/skylarkchute_routing/systems/RequestFlow.h
+++ b/modules/skylarkchute_routing/systems/RequestFlow.h
@@ -17,6 +17,8 @@
 public:
   RequestFlow(RouterTables& aTables,
               EvidenceSystem& aEvidence,
+              HealthSystem& aHealth,
+              CascadeSystem& aCascades,
               LimitSystem& aLimits,
               PoolSystem& aPools);
 
@@ -39,6 +41,13 @@
                  TimePoint aNow,
                  RouterSteps& aSteps);
 
+  /** Takes in the rating of an answer that is held for it. */
+  void OnHeldRating(const RequestId& aRequest,
+                    const AttemptId& aAttempt,
+                    double aRating,
+                    TimePoint aNow,
+                    RouterSteps& aSteps);
+
   /** Drops a request whose caller left. */
   void OnCallerLeft(const RequestId& aRequest, TimePoint aNow, RouterSteps& aSteps);
 
@@ -57,20 +66,31 @@
   bool ChooseVersion(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps);
   void DrainPool(const PoolKey& aPool, TimePoint aNow, RouterSteps& aSteps);
   void Send(RequestRow& aRow, EndpointRow& aEndpoint, TimePoint aNow, RouterSteps& aSteps);
+  void OnAnswer(RequestRow& aRow,
+                const AttemptId& aAttempt,
+                const AttemptOutcome& aOutcome,
+                TimePoint aNow,
+                RouterSteps& aSteps);
+  /** Serves a held answer or asks a dearer model. */
+  void DecideHeld(RequestRow& aRow,
+                  std::optional<double> aRating,
+                  TimePoint aNow,
+                  RouterSteps& aSteps);
   void OnFailure(RequestRow& aRow,
                  const AttemptOutcome& aOutcome,
                  TimePoint aNow,
                  RouterSteps& aSteps);
-  void Finish(RequestRow& aRow, const AttemptId& aAttempt, RouterSteps& aSteps);
+  void Finish(RequestRow& aRow, AttemptId aAttempt, RouterSteps& aSteps);
   void CancelLive(RequestRow& aRow, RouterSteps& aSteps);
   void Refuse(RequestRow& aRow, RefuseStep aStep, RouterSteps& aSteps);
   void End(RequestRow& aRow);
   void CheckDeadlines(TimePoint aNow, RouterSteps& aSteps);
   void StartHedges(TimePoint aNow, RouterSteps& aSteps);
-  RefuseStep RefusalFor(const RequestRow& aRow, const AttemptOutcome& aOutcome, TimePoint aNow);
+  RefuseStep RefusalFor(const RequestRow& aRow, AttemptEnd aEnd, TimePoint aNow);
 
   RouterTables& mTables;
   EvidenceSystem& mEvidence;
+  CascadeSystem& mCascades;
   LimitSystem& mLimits;
   PoolSystem& mPools;
   Admission mAdmission;
--- a/modules/skylarkchute_routing/systems/VersionChoice.cpp
+++ b/modules/skylarkchute_routing/systems/VersionChoice.cpp
@@ -76,30 +76,108 @@
       row.mVersion.mState == VersionState::Rolling || RollTo(*mTables.mBundle, it.first) != nullptr;
     (isRolling ? rolling : settled).push_back(&row);
   }
-  for (const auto* it : rolling) {
+  const auto* row = DrawRolling(rolling, aNow);
+  if (row == nullptr) {
+    row = DrawSettled(settled, !rolling.empty(), aNow);
+  }
+  if (row != nullptr) {
+    return row->mVersion.mId;
+  }
+  const auto it = std::find_if(
+    rolling.begin(), rolling.end(), [](const VersionRow* aRow) { return aRow->mRollPercent > 0; });
+  return it == rolling.end() ? std::nullopt : std::optional((*it)->mVersion.mId);
+}
+
+const VersionRow* VersionChoice::DrawRolling(const std::vector<const VersionRow*>& aRolling,
+                                             TimePoint aNow)
+{
+  for (const auto* it : aRolling) {
+    const auto& id = it->mVersion.mId;
     const bool drawn = mTables.Draw() * 100 < it->mRollPercent;
-    if (drawn && IsHosted(it->mVersion.mId, aNow)) {
-      return it->mVersion.mId;
+    if (drawn && IsHosted(id, aNow) && mHealth.Allows(id, aNow)) {
+      return it;
     }
   }
-  if (settled.empty()) {
-    const auto it = std::find_if(rolling.begin(), rolling.end(), [](const VersionRow* aRow) {
-      return aRow->mRollPercent > 0;
-    });
-    return it == rolling.end() ? std::nullopt : std::optional((*it)->mVersion.mId);
+  return nullptr;
+}
+
+const VersionRow* VersionChoice::DrawSettled(std::vector<const VersionRow*> aSettled,
+                                             bool aHasRolling,
+                                             TimePoint aNow)
+{
+  if (aSettled.empty()) {
+    return nullptr;
   }
-  const auto replaced = [&](const VersionRow* aRow) {
+  const auto notReplaced = [&](const VersionRow* aRow) {
     return RollFrom(*mTables.mBundle, aRow->mVersion.mId) == nullptr;
   };
   const auto hosted = [&](const VersionRow* aRow) { return IsHosted(aRow->mVersion.mId, aNow); };
-  if (!rolling.empty() && !std::all_of(settled.begin(), settled.end(), replaced)) {
-    std::erase_if(settled, replaced);
+  if (aHasRolling && !std::all_of(aSettled.begin(), aSettled.end(), notReplaced)) {
+    std::erase_if(aSettled, notReplaced);
+  }
+  if (std::any_of(aSettled.begin(), aSettled.end(), hosted)) {
+    std::erase_if(aSettled, [&](const VersionRow* aRow) { return !hosted(aRow); });
+  }
+  return aSettled[static_cast<std::size_t>(mTables.Draw() * static_cast<double>(aSettled.size()))];
+}
+
+std::vector<ModelName> VersionChoice::CascadeModels(const RequestRow& aRow, TimePoint aNow) const
+{
+  const auto* cascade = mCascades.CascadeOf(aRow);
+  const auto* team = mTables.mBundle->FindTeam(aRow.mTeam);
+  std::vector<ModelName> usable;
+  std::vector<ModelName> hosted;
+  if (cascade == nullptr || team == nullptr) {
+    return usable;
   }
-  if (std::any_of(settled.begin(), settled.end(), hosted)) {
-    std::erase_if(settled, [&](const VersionRow* aRow) { return !hosted(aRow); });
+  for (const auto& it : cascade->mModels) {
+    if (IsModelUsable(*team, it)) {
+      usable.push_back(it);
+    }
+    if (IsModelHosted(*team, it, aNow)) {
+      hosted.push_back(it);
+    }
   }
-  const auto n = static_cast<std::size_t>(mTables.Draw() * static_cast<double>(settled.size()));
-  return settled[n]->mVersion.mId;
+  return hosted.empty() ? usable : hosted;
+}
+
+std::optional<VersionId> VersionChoice::ChooseByCascade(RequestRow& aRow,
+                                                        const Team& aTeam,
+                                                        TimePoint aNow)
+{
+  const auto models = CascadeModels(aRow, aNow);
+  if (models.empty()) {
+    return std::nullopt;
+  }
+  const auto choice = mCascades.ChooseModel(aRow, models, aNow);
+  aRow.mByCascade = true;
+  aRow.mHold = choice.mHoldForRating;
+  if (const auto version = ChooseOfModel(aTeam, choice.mModel, aNow)) {
+    return version;
+  }
+  for (const auto& it : models) {
+    if (const auto version = ChooseOfModel(aTeam, it, aNow)) {
+      return version;
+    }
+  }
+  return std::nullopt;
+}
+
+bool VersionChoice::IsModelUsable(const Team& aTeam, const ModelName& aModel) const
+{
+  const auto& versions = mTables.mVersions.All();
+  return std::any_of(versions.begin(), versions.end(), [&](const auto& aItem) {
+    return aItem.second.mVersion.mModel == aModel && MayUse(aTeam, aItem.second);
+  });
+}
+
+bool VersionChoice::IsModelHosted(const Team& aTeam, const ModelName& aModel, TimePoint aNow) const
+{
+  const auto& versions = mTables.mVersions.All();
+  return std::any_of(versions.begin(), versions.end(), [&](const auto& aItem) {
+    return aItem.second.mVersion.mModel == aModel && MayUse(aTeam, aItem.second) &&
+           IsHosted(aItem.first, aNow);
+  });
 }
 
 VersionDecision VersionChoice::ChooseNamed(const RequestRow& aRow, const VersionId& aVersion) const
@@ -119,6 +197,9 @@
 VersionDecision VersionChoice::ChooseByClass(RequestRow& aRow, const Team& aTeam, TimePoint aNow)
 {
   std::optional<VersionId> fallback;
+  if (const auto version = ChooseByCascade(aRow, aTeam, aNow)) {
+    return *version;
+  }
   for (const auto& it : ModelsInOrder(aRow, aTeam)) {
     const auto version = ChooseOfModel(aTeam, it, aNow);
     if (!version) {
@@ -145,34 +226,26 @@
   const auto& bundle = *mTables.mBundle;
   const auto* requestClass = bundle.FindClass(aRow.mFacts.mClass);
   const double target = requestClass == nullptr ? 0 : requestClass->mQualityTarget;
-  std::vector<const Model*> good;
-  std::vector<const Model*> others;
-  const auto* cascade = requestClass != nullptr && requestClass->mCascade
-                          ? bundle.FindCascade(*requestClass->mCascade)
-                          : nullptr;
+  if (mCascades.CascadeOf(aRow) != nullptr) {
+    return {};
+  }
+  std::vector<const Model*> models;
   for (const auto& it : bundle.mModels) {
-    const bool inCascade =
-      cascade == nullptr || std::find(cascade->mModels.begin(), cascade->mModels.end(), it.mName) !=
-                              cascade->mModels.end();
-    const bool usable =
-      std::any_of(bundle.mVersions.begin(), bundle.mVersions.end(), [&](const ModelVersion& aV) {
-        return aV.mModel == it.mName && bundle.Allows(aTeam, aV);
-      });
-    if (inCascade && usable) {
-      (it.mQuality >= target ? good : others).push_back(&it);
+    if (IsModelUsable(aTeam, it.mName)) {
+      models.push_back(&it);
     }
   }
-  std::stable_sort(good.begin(), good.end(), [](const Model* aLeft, const Model* aRight) {
-    return aLeft->mPricePerThousandTokens < aRight->mPricePerThousandTokens;
-  });
-  std::stable_sort(others.begin(), others.end(), [](const Model* aLeft, const Model* aRight) {
-    return aLeft->mQuality > aRight->mQuality;
+  std::stable_sort(models.begin(), models.end(), [&](const Model* aLeft, const Model* aRight) {
+    const bool leftGood = aLeft->mQuality >= target;
+    const bool rightGood = aRight->mQuality >= target;
+    if (leftGood != rightGood) {
+      return leftGood;
+    }
+    return leftGood ? aLeft->mPricePerThousandTokens < aRight->mPricePerThousandTokens
+                    : aLeft->mQuality > aRight->mQuality;
   });
   std::vector<ModelName> order;
-  for (const auto* it : good) {
-    order.push_back(it->mName);
-  }
-  for (const auto* it : others) {
+  for (const auto* it : models) {
     order.push_back(it->mName);
   }
   return order;
@@ -180,17 +253,11 @@
 
 bool VersionChoice::IsHosted(const VersionId& aVersion, TimePoint aNow) const
 {
-  const auto* version = mTables.mVersions.Find(aVersion);
-  if (version == nullptr) {
-    return false;
-  }
-  for (const auto& it : mTables.mEndpoints.All()) {
-    const auto& row = it.second;
-    if (!row.IsLeaving() && row.Hosts(version->mVersion.mLabel) && row.mBreaker.Allows(aNow)) {
-      return true;
-    }
-  }
-  return false;
+  const auto& members = mPools.Fresh(aVersion).mMembers;
+  return std::any_of(members.begin(), members.end(), [&](const EndpointId& aId) {
+    const auto* endpoint = mTables.mEndpoints.Find(aId);
+    return endpoint != nullptr && endpoint->mBreaker.Allows(aNow);
+  });
 }
 
 bool VersionChoice::MayUse(const Team& aTeam, const VersionRow& aVersion) const
--- a/modules/skylarkchute_routing/systems/VersionChoice.h
+++ b/modules/skylarkchute_routing/systems/VersionChoice.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "../tables/RouterTables.h"
+#include "CascadeSystem.h"
+#include "HealthSystem.h"
+#include "PoolSystem.h"
 
 #include <variant>
 #include <vector>
@@ -14,7 +17,16 @@
 class VersionChoice
 {
 public:
-  explicit VersionChoice(RouterTables& aTables) : mTables(aTables) {}
+  VersionChoice(RouterTables& aTables,
+                PoolSystem& aPools,
+                HealthSystem& aHealth,
+                CascadeSystem& aCascades)
+    : mTables(aTables)
+    , mPools(aPools)
+    , mHealth(aHealth)
+    , mCascades(aCascades)
+  {
+  }
 
   /** Chooses a version that the team may use and that is neither withdrawn nor stopped. */
   VersionDecision Choose(RequestRow& aRow, TimePoint aNow);
@@ -28,7 +40,18 @@
                                          const ModelName& aModel,
                                          TimePoint aNow);
 
+  /** Returns the models of the request's cascade that can answer now, in its order; those without
+      a live endpoint only when no model has one. */
+  std::vector<ModelName> CascadeModels(const RequestRow& aRow, TimePoint aNow) const;
+
 private:
+  std::optional<VersionId> ChooseByCascade(RequestRow& aRow, const Team& aTeam, TimePoint aNow);
+  bool IsModelHosted(const Team& aTeam, const ModelName& aModel, TimePoint aNow) const;
+  bool IsModelUsable(const Team& aTeam, const ModelName& aModel) const;
+  const VersionRow* DrawRolling(const std::vector<const VersionRow*>& aRolling, TimePoint aNow);
+  const VersionRow* DrawSettled(std::vector<const VersionRow*> aSettled,
+                                bool aHasRolling,
+                                TimePoint aNow);
   VersionDecision ChooseNamed(const RequestRow& aRow, const VersionId& aVersion) const;
   VersionDecision ChooseByClass(RequestRow& aRow, const Team& aTeam, TimePoint aNow);
   std::vector<ModelName> ModelsInOrder(const RequestRow& aRow, const Team& aTeam) const;
@@ -36,6 +59,9 @@
   bool MayUse(const Team& aTeam, const VersionRow& aVersion) const;
 
   RouterTables& mTables;
+  PoolSystem& mPools;
+  HealthSystem& mHealth;
+  CascadeSystem& mCascades;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/tables/RequestTable.h
+++ b/modules/skylarkchute_routing/tables/RequestTable.h
@@ -27,6 +27,7 @@
   Queued,  /**< Waits in the queue of its pool. */
   Delayed, /**< Waits for the end of a back-off. */
   Running, /**< At least one attempt runs. */
+  Held,    /**< A complete answer waits for its rating. */
 };
 
 /** One request under way. */
@@ -36,9 +37,12 @@
   TeamName mTeam;
   std::uint32_t mPriority = 0;
   bool mNonIdempotent = false;
-  bool mHedged = false;  /**< The class allows hedges. */
-  bool mSession = false; /**< Pinned to a version; never moved to another. */
-  bool mByCascade = false;
+  bool mHedged = false;                  /**< The class allows hedges. */
+  bool mSession = false;                 /**< Pinned to a version; never moved to another. */
+  bool mByCascade = false;               /**< The model is the choice of a cascade. */
+  bool mHold = false;                    /**< The next answer is held for its rating. */
+  std::optional<AttemptId> mHeldAttempt; /**< Its answer can still be served. */
+  TimePoint mHeldUntil{};
   RequestPhase mPhase = RequestPhase::New;
   PoolKey mPool;
   std::optional<VersionId> mVersion; /**< Empty for plain services. */
