--- a/modules/skylarkchute_bundles/evidence/RoutingAlert.h
+++ b/modules/skylarkchute_bundles/evidence/RoutingAlert.h
@@ -16,6 +16,8 @@
   std::optional<Fingerprint> mSuspect; /**< Crashed one endpoint; @see mCrashCount. */
   std::uint32_t mCrashCount = 0;
   std::string mReason;
+  /** Endpoint whose crash the alert tells of, so that two reports of one crash count once. */
+  std::optional<EndpointId> mCrashedEndpoint = std::nullopt;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_bundles/json/JsonObject.cpp
+++ b/modules/skylarkchute_bundles/json/JsonObject.cpp
@@ -68,6 +68,15 @@
   return WallTime(std::chrono::milliseconds(mValue[aMember].asInt64()));
 }
 
+bool JsonObject::Flag(const char* aMember)
+{
+  if (!mValue[aMember].isBool()) {
+    Refuse(aMember);
+    return false;
+  }
+  return mValue[aMember].asBool();
+}
+
 const Json::Value& JsonObject::Array(const char* aMember)
 {
   if (!mValue[aMember].isArray()) {
@@ -94,14 +103,6 @@
   return leaf::new_error(std::move(faults));
 }
 
-std::string WriteJson(const Json::Value& aValue)
-{
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  builder["emitUTF8"] = true;
-  return Json::writeString(builder, aValue);
-}
-
 Json::Int64 TimeToJson(WallTime aTime)
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime.time_since_epoch()).count();
--- a/modules/skylarkchute_routing/systems/AttemptSystem.cpp
+++ b/modules/skylarkchute_routing/systems/AttemptSystem.cpp
@@ -43,6 +43,7 @@
   attempt.mStarted = aNow;
   attempt.mHedge = aKind == AttemptKind::Hedge;
   aRow.mLive.push_back(attempt);
+  mQuarantine.OnOpen(aRow, attempt);
   aRow.mPhase = RequestPhase::Running;
   if (aRow.mTried.size() >= kMostTried) {
     aRow.mTried.erase(aRow.mTried.begin());
@@ -79,6 +80,7 @@
   assert(attempt != nullptr);
   auto* endpoint = mTables.mEndpoints.Find(attempt->mEndpoint);
   const auto zone = endpoint == nullptr ? ZoneName() : endpoint->mRecord.mZone;
+  mQuarantine.OnClose(aRow, *attempt, &aOutcome, aNow);
   mEvidence.OnAttemptEnd(aRow, *attempt, zone, aOutcome, aNow);
   if (endpoint != nullptr) {
     RecordAtEndpoint(aRow, *endpoint, aOutcome, aNow);
@@ -90,10 +92,11 @@
   std::erase_if(aRow.mLive, [&](const AttemptRow& aIt) { return aIt.mId == aAttempt; });
 }
 
-void AttemptSystem::Release(RequestRow& aRow, const AttemptId& aAttempt)
+void AttemptSystem::Release(RequestRow& aRow, const AttemptId& aAttempt, TimePoint aNow)
 {
   const auto* attempt = aRow.FindAttempt(aAttempt);
   assert(attempt != nullptr);
+  mQuarantine.OnClose(aRow, *attempt, nullptr, aNow);
   if (auto* endpoint = mTables.mEndpoints.Find(attempt->mEndpoint)) {
     endpoint->mInFlight -= endpoint->mInFlight > 0 ? 1 : 0;
     endpoint->mBreaker.OnNeutral();
--- a/modules/skylarkchute_routing/systems/EvidenceSystem.cpp
+++ b/modules/skylarkchute_routing/systems/EvidenceSystem.cpp
@@ -72,7 +72,7 @@
   if (!mTables.mVersions.Stop(aVersion)) {
     return;
   }
-  mTables.mVersionsChanged = true;
+  mTables.mWaitingChanged = true;
   ++mTables.mCounters.mVersionsStopped;
   mTables.mReports.mEvents.push_back(
     { &kVersionStopped, { { "version", aVersion.Value() }, { "reason", aReason } } });
--- /dev/null
+++ b/modules/skylarkchute_routing/systems/QuarantineSystem.cpp
@@ -0,0 +1,192 @@
+#include "QuarantineSystem.h"
+
+#include "../events/RoutingEvents.h"
+
+namespace skylarkchute {
+
+namespace {
+
+/** Crashes after which a fingerprint is refused. */
+constexpr std::uint32_t kMostCrashes = 2;
+/** Time for alerts of peers to arrive before a suspect is tried. */
+constexpr std::chrono::milliseconds kAlertTime{ 250 };
+constexpr std::chrono::milliseconds kLookAgain{ 50 };
+constexpr std::chrono::hours kQuarantine{ 24 };
+/** When several fingerprints reach the count at one crash, at most one of them is to blame. */
+constexpr std::chrono::minutes kSharedQuarantine{ 10 };
+
+} // namespace
+
+GateDecision QuarantineSystem::Check(RequestRow& aRow, const PoolRow& aPool, TimePoint aNow)
+{
+  const auto& fingerprint = aRow.mFacts.mFingerprint;
+  if (fingerprint.IsEmpty()) {
+    return GateFree{};
+  }
+  if (IsQuarantined(fingerprint, aNow)) {
+    return GateQuarantined{};
+  }
+  const auto live = mTables.mSuspects.mLive.find(fingerprint);
+  const auto* suspect = mTables.mSuspects.Find(fingerprint);
+  if (suspect == nullptr) {
+    const bool shares =
+      live != mTables.mSuspects.mLive.end() && !mTables.mSuspects.IsProven(fingerprint);
+    return shares ? GateDecision(GateOnly{ live->second.mEndpoint }) : GateDecision(GateFree{});
+  }
+  if (aRow.mSuspectSince == TimePoint{}) {
+    aRow.mSuspectSince = aNow;
+  }
+  if (aNow < aRow.mSuspectSince + kAlertTime) {
+    return GateWait{ aRow.mSuspectSince + kAlertTime };
+  }
+  if (live != mTables.mSuspects.mLive.end()) {
+    return GateWait{ aNow + kLookAgain };
+  }
+  const auto* endpoint = TrialEndpoint(aRow, *suspect, aPool, aNow);
+  return endpoint == nullptr ? GateDecision(GateWait{ aNow + kLookAgain })
+                             : GateDecision(GateOnly{ *endpoint });
+}
+
+bool QuarantineSystem::IsQuarantined(const Fingerprint& aFingerprint, TimePoint aNow)
+{
+  const auto* suspect = mTables.mSuspects.Find(aFingerprint);
+  return suspect != nullptr && aNow < suspect->mQuarantinedUntil;
+}
+
+bool QuarantineSystem::IsSuspect(const Fingerprint& aFingerprint)
+{
+  return mTables.mSuspects.Find(aFingerprint) != nullptr;
+}
+
+void QuarantineSystem::OnOpen(const RequestRow& aRow, const AttemptRow& aAttempt)
+{
+  if (aRow.mFacts.mFingerprint.IsEmpty()) {
+    return;
+  }
+  auto& live = mTables.mSuspects.mLive[aRow.mFacts.mFingerprint];
+  live.mEndpoint = aAttempt.mEndpoint;
+  ++live.mCount;
+}
+
+void QuarantineSystem::OnClose(RequestRow& aRow,
+                               const AttemptRow& aAttempt,
+                               const AttemptOutcome* aOutcome,
+                               TimePoint aNow)
+{
+  const auto& fingerprint = aRow.mFacts.mFingerprint;
+  if (fingerprint.IsEmpty()) {
+    return;
+  }
+  const auto live = mTables.mSuspects.mLive.find(fingerprint);
+  if (live != mTables.mSuspects.mLive.end() && --live->second.mCount == 0) {
+    mTables.mSuspects.mLive.erase(live);
+  }
+  if (aOutcome == nullptr) {
+    return;
+  }
+  if (aOutcome->mEnd == AttemptEnd::Broken) {
+    OnCrash(aRow, aAttempt.mEndpoint, aNow);
+    return;
+  }
+  if (aOutcome->mEnd == AttemptEnd::Complete) {
+    mTables.mSuspects.MarkProven(fingerprint);
+    if (!IsQuarantined(fingerprint, aNow)) {
+      mTables.mSuspects.Erase(fingerprint);
+    }
+  }
+}
+
+void QuarantineSystem::OnAlert(const RoutingAlert& aAlert, TimePoint aNow)
+{
+  if (!aAlert.mSuspect || aAlert.mCrashCount == 0) {
+    return;
+  }
+  auto& suspect = mTables.mSuspects.Get(*aAlert.mSuspect, aNow);
+  suspect.mReported = std::max(suspect.mReported, aAlert.mCrashCount);
+  CountCrash(suspect, aAlert.mCrashedEndpoint, aNow);
+  QuarantineIfDue(*aAlert.mSuspect, suspect, aNow);
+}
+
+void QuarantineSystem::OnCrash(RequestRow& aRow, const EndpointId& aEndpoint, TimePoint aNow)
+{
+  const auto& fingerprint = aRow.mFacts.mFingerprint;
+  auto& suspect = mTables.mSuspects.Get(fingerprint, aNow);
+  aRow.mSuspectSince = TimePoint{};
+  CountCrash(suspect, aEndpoint, aNow);
+  RoutingAlert alert;
+  alert.mSuspect = fingerprint;
+  alert.mCrashCount = suspect.Count();
+  alert.mReason = "endpoint-crash";
+  alert.mCrashedEndpoint = aEndpoint;
+  mTables.mReports.mAlerts.push_back(std::move(alert));
+  QuarantineIfDue(fingerprint, suspect, aNow);
+}
+
+void QuarantineSystem::CountCrash(SuspectRow& aSuspect,
+                                  const std::optional<EndpointId>& aEndpoint,
+                                  TimePoint aNow)
+{
+  aSuspect.mLastCrash = aNow;
+  if (aEndpoint && !aSuspect.HasCrashed(*aEndpoint) && aSuspect.mCrashed.size() < kMostCrashes) {
+    aSuspect.mCrashed.push_back(*aEndpoint);
+  }
+}
+
+void QuarantineSystem::QuarantineIfDue(const Fingerprint& aFingerprint,
+                                       SuspectRow& aSuspect,
+                                       TimePoint aNow)
+{
+  if (aSuspect.Count() < kMostCrashes || aNow < aSuspect.mQuarantinedUntil) {
+    return;
+  }
+  aSuspect.mQuarantinedUntil = aNow + kQuarantine;
+  mTables.mWaitingChanged = true;
+  mTables.mReports.mEvents.push_back(
+    { &kFingerprintQuarantined, { { "fingerprint", aFingerprint.Value() } } });
+  if (aSuspect.mCrashed.empty()) {
+    return;
+  }
+  const auto& endpoint = aSuspect.mCrashed.back();
+  for (auto& it : mTables.mSuspects.All()) {
+    auto& other = it.second;
+    const bool shared = &other != &aSuspect && aNow < other.mQuarantinedUntil &&
+                        other.HasCrashed(endpoint) && aNow - other.mLastCrash < kAlertTime * 4;
+    if (shared) {
+      other.mQuarantinedUntil = std::min(other.mQuarantinedUntil, aNow + kSharedQuarantine);
+      aSuspect.mQuarantinedUntil = aNow + kSharedQuarantine;
+    }
+  }
+}
+
+const EndpointId* QuarantineSystem::TrialEndpoint(const RequestRow& aRow,
+                                                  const SuspectRow& aSuspect,
+                                                  const PoolRow& aPool,
+                                                  TimePoint aNow)
+{
+  const auto holdsSuspect = [&](const EndpointId& aId) {
+    const auto& live = mTables.mSuspects.mLive;
+    return std::any_of(live.begin(), live.end(), [&](const auto& aItem) {
+      return aItem.second.mEndpoint == aId && mTables.mSuspects.Find(aItem.first) != nullptr;
+    });
+  };
+  const auto seed = StableHash(aRow.mFacts.mFingerprint.Value());
+  const EndpointId* best = nullptr;
+  std::uint64_t bestHash = 0;
+  for (const auto& it : aPool.mHosting) {
+    const auto* endpoint = mTables.mEndpoints.Find(it);
+    if (endpoint == nullptr || aSuspect.HasCrashed(it)) {
+      continue;
+    }
+    if (!endpoint->CanTake(aNow, mTables.mOptions.mDefaultSlots) || holdsSuspect(it)) {
+      continue;
+    }
+    const auto hash = StableHash(it.Value(), seed);
+    if (best == nullptr || hash > bestHash) {
+      best = &it;
+      bestHash = hash;
+    }
+  }
+  return best;
+}
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_routing/tables/EndpointTable.h
+++ b/modules/skylarkchute_routing/tables/EndpointTable.h
@@ -35,6 +35,9 @@
   /** Returns the load: own attempts, and those of others as far as the report is fresh. */
   double Load(TimePoint aNow) const;
 
+  /** Returns whether the endpoint can be given an attempt: not leaving, not tripped, with room. */
+  bool CanTake(TimePoint aNow, std::uint32_t aDefaultSlots) const;
+
   /** Takes in how long an answer took over what was expected. */
   void RecordSlowness(double aRatio, TimePoint aNow);
 
--- a/modules/skylarkchute_routing/tables/RequestTable.h
+++ b/modules/skylarkchute_routing/tables/RequestTable.h
@@ -39,6 +39,7 @@
   bool mNonIdempotent = false;
   bool mHedged = false;                  /**< The class allows hedges. */
   bool mSession = false;                 /**< Pinned to a version; never moved to another. */
+  TimePoint mSuspectSince{};             /**< When it was found that the fingerprint is suspect. */
   bool mByCascade = false;               /**< The model is the choice of a cascade. */
   bool mHold = false;                    /**< The next answer is held for its rating. */
   std::optional<AttemptId> mHeldAttempt; /**< Its answer can still be served. */
