--- a/modules/skylarkchute_routing/Router.cpp
+++ b/modules/skylarkchute_routing/Router.cpp
@@ -43,11 +43,11 @@
   auto& tables = mState->mTables;
   tables.mBundle = std::move(aBundle);
   tables.mVersions.Replace(tables.mBundle->mVersions);
-  tables.mVersionsChanged = true;
+  tables.mWaitingChanged = true;
   mState->mPools.OnVersionsReplaced();
   mState->mHealth.ApplyBundle();
   mState->mLimits.ApplyBundle(aNow);
-  mState->mFlow.SweepVersions(aNow, steps);
+  mState->mFlow.SweepWaiting(aNow, steps);
   mState->mPools.DropUnused();
   return steps;
 }
@@ -80,8 +80,9 @@
   }
 }
 
-void Router::ApplyAlert(const RoutingAlert& aAlert, TimePoint /*aNow*/)
+void Router::ApplyAlert(const RoutingAlert& aAlert, TimePoint aNow)
 {
+  mState->mFlow.OnAlert(aAlert, aNow);
   if (aAlert.mVersion) {
     mState->mEvidence.Stop(*aAlert.mVersion, aAlert.mReason, false);
   }
@@ -115,11 +116,9 @@
   return steps;
 }
 
-void Router::WithdrawAttempt(const RequestId& aRequest,
-                             const AttemptId& aAttempt,
-                             TimePoint /*aNow*/)
+void Router::WithdrawAttempt(const RequestId& aRequest, const AttemptId& aAttempt, TimePoint aNow)
 {
-  mState->mFlow.Withdraw(aRequest, aAttempt);
+  mState->mFlow.Withdraw(aRequest, aAttempt, aNow);
 }
 
 RouterSteps Router::Repin(const RequestId& aRequest, const VersionId& aVersion, TimePoint aNow)
--- a/modules/skylarkchute_routing/systems/AttemptSystem.h
+++ b/modules/skylarkchute_routing/systems/AttemptSystem.h
@@ -3,6 +3,7 @@
 #include "../requests/AttemptOutcome.h"
 #include "../tables/RouterTables.h"
 #include "EvidenceSystem.h"
+#include "QuarantineSystem.h"
 
 namespace skylarkchute {
 
@@ -18,9 +19,10 @@
 class AttemptSystem
 {
 public:
-  AttemptSystem(RouterTables& aTables, EvidenceSystem& aEvidence)
+  AttemptSystem(RouterTables& aTables, EvidenceSystem& aEvidence, QuarantineSystem& aQuarantine)
     : mTables(aTables)
     , mEvidence(aEvidence)
+    , mQuarantine(aQuarantine)
   {
   }
 
@@ -34,7 +36,7 @@
              TimePoint aNow);
 
   /** Closes an attempt that says nothing of its endpoint: not carried out, or cancelled. */
-  void Release(RequestRow& aRow, const AttemptId& aAttempt);
+  void Release(RequestRow& aRow, const AttemptId& aAttempt, TimePoint aNow);
 
 private:
   void RecordComplete(const RequestRow& aRow,
@@ -49,6 +51,7 @@
 
   RouterTables& mTables;
   EvidenceSystem& mEvidence;
+  QuarantineSystem& mQuarantine;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/systems/EndpointChoice.cpp
+++ b/modules/skylarkchute_routing/systems/EndpointChoice.cpp
@@ -27,7 +27,7 @@
 {
   return std::any_of(aPool.mMembers.begin(), aPool.mMembers.end(), [&](const EndpointId& aId) {
     const auto* endpoint = mTables.mEndpoints.Find(aId);
-    return endpoint != nullptr && CanTake(*endpoint, aNow);
+    return endpoint != nullptr && endpoint->CanTake(aNow, mTables.mOptions.mDefaultSlots);
   });
 }
 
@@ -48,23 +48,12 @@
   return ChooseOf(aRow, std::move(candidates), aNow);
 }
 
-bool EndpointChoice::CanTake(const EndpointRow& aEndpoint, TimePoint aNow) const
-{
-  if (aEndpoint.IsLeaving() || aNow < aEndpoint.mFullUntil) {
-    return false;
-  }
-  if (!aEndpoint.mBreaker.Allows(aNow)) {
-    return false;
-  }
-  return aEndpoint.Load(aNow) < aEndpoint.Slots(mTables.mOptions.mDefaultSlots);
-}
-
 EndpointChoice::Candidates EndpointChoice::WithRoom(const PoolRow& aPool, TimePoint aNow)
 {
   Candidates candidates;
   for (const auto& it : aPool.mMembers) {
     auto* endpoint = mTables.mEndpoints.Find(it);
-    if (endpoint != nullptr && CanTake(*endpoint, aNow)) {
+    if (endpoint != nullptr && endpoint->CanTake(aNow, mTables.mOptions.mDefaultSlots)) {
       candidates.push_back(endpoint);
     }
   }
--- a/modules/skylarkchute_routing/systems/Refusals.h
+++ b/modules/skylarkchute_routing/systems/Refusals.h
@@ -43,6 +43,13 @@
            std::move(aReason), std::move(aDetail), aRetryAfter };
 }
 
+/** Returns a refusal of a request that crashed endpoints. */
+inline RefuseStep QuarantineRefusal(const RequestId& aRequest)
+{
+  return NotRunRefusal(
+    aRequest, 422, refusal::kQuarantined, "Requests like this one crashed two endpoints.");
+}
+
 /** Returns a refusal of a request whose last attempt ended so.
     @param aWorst  verdict over all attempts */
 RefuseStep FailureRefusal(const RequestId& aRequest, AttemptEnd aEnd, Verdict aWorst);
--- a/modules/skylarkchute_routing/systems/RequestFlow.cpp
+++ b/modules/skylarkchute_routing/systems/RequestFlow.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kShedPeriod{ 25 };
+constexpr std::chrono::milliseconds kGatePeriod{ 50 };
 constexpr double kHedgeQuantile = 0.95;
 
 } // namespace
@@ -30,14 +31,15 @@
   , mEndpoints(aTables)
   , mQueues(aTables, aPools, mEndpoints)
   , mRetries(aTables)
-  , mAttempts(aTables, aEvidence)
+  , mQuarantine(aTables)
+  , mAttempts(aTables, aEvidence, mQuarantine)
 {
 }
 
 void RequestFlow::Start(const RequestFacts& aFacts, TimePoint aNow, RouterSteps& aSteps)
 {
   assert(mTables.mRequests.Find(aFacts.mId) == nullptr);
-  SweepVersions(aNow, aSteps);
+  SweepWaiting(aNow, aSteps);
   ++mTables.mCounters.mStarted;
   RequestRow row;
   auto refusal = mAdmission.Admit(aFacts, aNow, row);
@@ -54,13 +56,13 @@
   Place(mTables.mRequests.Insert(std::move(row)), aNow, aSteps);
 }
 
-void RequestFlow::Withdraw(const RequestId& aRequest, const AttemptId& aAttempt)
+void RequestFlow::Withdraw(const RequestId& aRequest, const AttemptId& aAttempt, TimePoint aNow)
 {
   auto* row = mTables.mRequests.Find(aRequest);
   if (row == nullptr || row->FindAttempt(aAttempt) == nullptr) {
     return;
   }
-  mAttempts.Release(*row, aAttempt);
+  mAttempts.Release(*row, aAttempt, aNow);
   if (row->mWorstVerdict == Verdict::NotRun) {
     mLimits.Refund(*row);
   }
@@ -72,7 +74,7 @@
                         TimePoint aNow,
                         RouterSteps& aSteps)
 {
-  SweepVersions(aNow, aSteps);
+  SweepWaiting(aNow, aSteps);
   auto* row = mTables.mRequests.Find(aRequest);
   if (row == nullptr) {
     return;
@@ -80,7 +82,7 @@
   mQueues.Leave(*row);
   while (!row->mLive.empty()) {
     const auto attempt = row->mLive.back().mId;
-    mAttempts.Release(*row, attempt);
+    mAttempts.Release(*row, attempt, aNow);
   }
   row->mPhase = RequestPhase::New;
   row->mTried.clear();
@@ -96,7 +98,7 @@
                             TimePoint aNow,
                             RouterSteps& aSteps)
 {
-  SweepVersions(aNow, aSteps);
+  SweepWaiting(aNow, aSteps);
   auto* row = mTables.mRequests.Find(aRequest);
   if (row == nullptr || row->FindAttempt(aAttempt) == nullptr) {
     return;
@@ -109,7 +111,7 @@
     mTables.mCounters.mHedgesWon += wasHedge ? 1 : 0;
     OnAnswer(*row, aAttempt, aOutcome, aNow, aSteps);
   } else if (aOutcome.mEnd == AttemptEnd::Rejected) {
-    Finish(*row, row->mHeldAttempt ? *row->mHeldAttempt : aAttempt, aSteps);
+    Finish(*row, row->mHeldAttempt ? *row->mHeldAttempt : aAttempt, aNow, aSteps);
   } else if (row->mLive.empty()) {
     OnFailure(*row, aOutcome, aNow, aSteps);
   }
@@ -122,7 +124,7 @@
                                TimePoint aNow,
                                RouterSteps& aSteps)
 {
-  SweepVersions(aNow, aSteps);
+  SweepWaiting(aNow, aSteps);
   auto* row = mTables.mRequests.Find(aRequest);
   if (row == nullptr || row->mPhase != RequestPhase::Held || *row->mHeldAttempt != aAttempt) {
     return;
@@ -140,7 +142,7 @@
   const auto pool = row->mPool;
   const bool placed = row->mVersion.has_value() || row->mFacts.mService.has_value();
   mQueues.Leave(*row);
-  CancelLive(*row, aSteps);
+  CancelLive(*row, aNow, aSteps);
   End(*row);
   if (placed) {
     DrainPool(pool, aNow, aSteps);
@@ -163,7 +165,7 @@
 
 void RequestFlow::Tick(TimePoint aNow, RouterSteps& aSteps)
 {
-  SweepVersions(aNow, aSteps);
+  SweepWaiting(aNow, aSteps);
   CheckDeadlines(aNow, aSteps);
   for (const auto& it : mTables.mRequests.Ids()) {
     auto* row = mTables.mRequests.Find(it);
@@ -190,23 +192,23 @@
   mNextShed = aNow + kShedPeriod;
   for (auto& it : mQueues.Shed(aNow)) {
     ++mTables.mCounters.mShed;
-    Refuse(*mTables.mRequests.Find(it.mRequest), it, aSteps);
+    Refuse(*mTables.mRequests.Find(it.mRequest), it, aNow, aSteps);
   }
 }
 
-void RequestFlow::SweepVersions(TimePoint aNow, RouterSteps& aSteps)
+void RequestFlow::SweepWaiting(TimePoint aNow, RouterSteps& aSteps)
 {
-  if (!mTables.mVersionsChanged) {
+  if (!mTables.mWaitingChanged) {
     return;
   }
-  mTables.mVersionsChanged = false;
+  mTables.mWaitingChanged = false;
   for (const auto& it : mTables.mRequests.Ids()) {
     auto* row = mTables.mRequests.Find(it);
-    if (row == nullptr || !row->mVersion || !row->mLive.empty() ||
-        row->mPhase == RequestPhase::Held) {
+    if (row == nullptr || !row->mLive.empty() || row->mPhase == RequestPhase::Held) {
       continue;
     }
-    if (mVersions.IsUsable(*row, *row->mVersion)) {
+    const bool usable = !row->mVersion || mVersions.IsUsable(*row, *row->mVersion);
+    if (usable && !mQuarantine.IsQuarantined(row->mFacts.mFingerprint, aNow)) {
       continue;
     }
     mQueues.Leave(*row);
@@ -222,7 +224,9 @@
   if (!ChooseVersion(aRow, aNow, aSteps)) {
     return;
   }
-  mPools.Fresh(aRow.mPool);
+  if (!PassGate(aRow, aNow, aSteps)) {
+    return;
+  }
   if (aRow.mAttempts == 0) {
     mTables.mPools.Get(aRow.mPool).mArrivals[aRow.mPriority].Add(1, aNow);
   }
@@ -235,7 +239,7 @@
   }
   if (const auto refusal = mQueues.CheckWait(*row, aNow)) {
     ++mTables.mCounters.mShed;
-    Refuse(*row, *refusal, aSteps);
+    Refuse(*row, *refusal, aNow, aSteps);
     return;
   }
   aSteps.push_back(WaitStep{ id });
@@ -255,7 +259,7 @@
   if (auto* refusal = std::get_if<RefuseStep>(&decision)) {
     const bool withdrawn = refusal->mReason == refusal::kVersionWithdrawn;
     mTables.mCounters.mVersionWithdrawn += withdrawn ? 1 : 0;
-    Refuse(aRow, *refusal, aSteps);
+    Refuse(aRow, *refusal, aNow, aSteps);
     return false;
   }
   aRow.mVersion = std::get<VersionId>(decision);
@@ -263,10 +267,42 @@
   return true;
 }
 
+bool RequestFlow::PassGate(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps)
+{
+  const auto gate = mQuarantine.Check(aRow, mPools.Fresh(aRow.mPool), aNow);
+  if (std::holds_alternative<GateFree>(gate)) {
+    return true;
+  }
+  if (std::holds_alternative<GateQuarantined>(gate)) {
+    ++mTables.mCounters.mQuarantined;
+    Refuse(aRow, QuarantineRefusal(aRow.mFacts.mId), aNow, aSteps);
+    return false;
+  }
+  auto until = aNow + kGatePeriod;
+  if (const auto* wait = std::get_if<GateWait>(&gate)) {
+    until = wait->mUntil;
+  } else {
+    auto* endpoint = mTables.mEndpoints.Find(std::get<GateOnly>(gate).mEndpoint);
+    if (endpoint != nullptr && endpoint->CanTake(aNow, mTables.mOptions.mDefaultSlots)) {
+      Send(aRow, *endpoint, aNow, aSteps);
+      return false;
+    }
+  }
+  const bool isNew = aRow.mPhase != RequestPhase::Delayed;
+  aRow.mPhase = RequestPhase::Delayed;
+  aRow.mNotBefore = until;
+  if (isNew) {
+    aSteps.push_back(WaitStep{ aRow.mFacts.mId });
+  }
+  return false;
+}
+
 void RequestFlow::DrainPool(const PoolKey& aPool, TimePoint aNow, RouterSteps& aSteps)
 {
   mQueues.Drain(aPool, aNow, [&](RequestRow& aRow, EndpointRow& aEndpoint) {
-    Send(aRow, aEndpoint, aNow, aSteps);
+    if (PassGate(aRow, aNow, aSteps)) {
+      Send(aRow, aEndpoint, aNow, aSteps);
+    }
   });
 }
 
@@ -305,10 +341,10 @@
     mTables.mReports.mRatingWishes.push_back({ aRow.mFacts.mId, aAttempt, *aRow.mVersion, hold });
   }
   if (!hold) {
-    Finish(aRow, aAttempt, aSteps);
+    Finish(aRow, aAttempt, aNow, aSteps);
     return;
   }
-  CancelLive(aRow, aSteps);
+  CancelLive(aRow, aNow, aSteps);
   aRow.mHold = false;
   aRow.mHeldAttempt = aAttempt;
   aRow.mHeldUntil = std::min(aNow + mTables.mOptions.mRatingWait, aRow.mFacts.mDeadline);
@@ -332,7 +368,7 @@
     version = mVersions.ChooseOfModel(*team, choice->mModel, aNow);
   }
   if (!version) {
-    Finish(aRow, *aRow.mHeldAttempt, aSteps);
+    Finish(aRow, *aRow.mHeldAttempt, aNow, aSteps);
     return;
   }
   aRow.mHold = choice->mHoldForRating;
@@ -352,7 +388,7 @@
   const auto expected = mQueues.ExpectedService(aRow, aNow);
   const auto at = mRetries.RetryAt(aRow, aOutcome, expected, aNow);
   if (!at) {
-    Refuse(aRow, RefusalFor(aRow, aOutcome.mEnd, aNow), aSteps);
+    Refuse(aRow, RefusalFor(aRow, aOutcome.mEnd, aNow), aNow, aSteps);
     return;
   }
   ++aRow.mRetries;
@@ -362,28 +398,28 @@
   aSteps.push_back(WaitStep{ aRow.mFacts.mId });
 }
 
-void RequestFlow::Finish(RequestRow& aRow, AttemptId aAttempt, RouterSteps& aSteps)
+void RequestFlow::Finish(RequestRow& aRow, AttemptId aAttempt, TimePoint aNow, RouterSteps& aSteps)
 {
   ++mTables.mCounters.mFinished;
-  CancelLive(aRow, aSteps);
+  CancelLive(aRow, aNow, aSteps);
   aSteps.push_back(FinishStep{ aRow.mFacts.mId, std::move(aAttempt), aRow.mWorstVerdict });
   End(aRow);
 }
 
-void RequestFlow::CancelLive(RequestRow& aRow, RouterSteps& aSteps)
+void RequestFlow::CancelLive(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps)
 {
   while (!aRow.mLive.empty()) {
     const auto attempt = aRow.mLive.back().mId;
-    mAttempts.Release(aRow, attempt);
+    mAttempts.Release(aRow, attempt, aNow);
     aSteps.push_back(CancelStep{ aRow.mFacts.mId, attempt });
   }
 }
 
-void RequestFlow::Refuse(RequestRow& aRow, RefuseStep aStep, RouterSteps& aSteps)
+void RequestFlow::Refuse(RequestRow& aRow, RefuseStep aStep, TimePoint aNow, RouterSteps& aSteps)
 {
   mQueues.Leave(aRow);
   if (aRow.mHeldAttempt) {
-    Finish(aRow, *aRow.mHeldAttempt, aSteps);
+    Finish(aRow, *aRow.mHeldAttempt, aNow, aSteps);
     return;
   }
   aStep.mVerdict = WorseVerdict(aStep.mVerdict, aRow.mWorstVerdict);
@@ -406,7 +442,14 @@
 {
   for (const auto& it : mTables.mRequests.Ids()) {
     auto& row = *mTables.mRequests.Find(it);
-    if (row.mPhase != RequestPhase::Running || aNow < row.mFacts.mDeadline) {
+    if (aNow < row.mFacts.mDeadline) {
+      continue;
+    }
+    if (row.mPhase == RequestPhase::Delayed) {
+      Refuse(row, RefusalFor(row, AttemptEnd::TimedOut, aNow), aNow, aSteps);
+      continue;
+    }
+    if (row.mPhase != RequestPhase::Running) {
       continue;
     }
     AttemptOutcome outcome;
@@ -418,7 +461,7 @@
       aSteps.push_back(CancelStep{ it, attempt });
     }
     ++mTables.mCounters.mDeadlinesMissed;
-    Refuse(row, RefusalFor(row, outcome.mEnd, aNow), aSteps);
+    Refuse(row, RefusalFor(row, outcome.mEnd, aNow), aNow, aSteps);
   }
 }
 
@@ -438,6 +481,9 @@
     if (row.mVersion && !mVersions.IsUsable(row, *row.mVersion)) {
       continue;
     }
+    if (mQuarantine.IsSuspect(row.mFacts.mFingerprint)) {
+      continue;
+    }
     auto* endpoint = mEndpoints.ChooseUntried(row, pool, aNow);
     if (endpoint == nullptr || !mRetries.TakeForHedge(row)) {
       continue;
--- a/modules/skylarkchute_routing/tables/EndpointTable.cpp
+++ b/modules/skylarkchute_routing/tables/EndpointTable.cpp
@@ -38,6 +38,14 @@
   return mInFlight + mOthers * Freshness(aNow - mReportedAt);
 }
 
+bool EndpointRow::CanTake(TimePoint aNow, std::uint32_t aDefaultSlots) const
+{
+  if (IsLeaving() || aNow < mFullUntil || !mBreaker.Allows(aNow)) {
+    return false;
+  }
+  return Load(aNow) < Slots(aDefaultSlots);
+}
+
 void EndpointRow::RecordSlowness(double aRatio, TimePoint aNow)
 {
   const double ratio = std::min(aRatio, kMostSlowness);
--- a/modules/skylarkchute_routing/tables/RouterTables.h
+++ b/modules/skylarkchute_routing/tables/RouterTables.h
@@ -8,6 +8,7 @@
 #include "RequestTable.h"
 #include "RouterCounters.h"
 #include "RouterReports.h"
+#include "SuspectTable.h"
 #include "TeamTable.h"
 #include "VersionTable.h"
 
@@ -39,7 +40,9 @@
   VersionTable mVersions;
   TeamTable mTeams;
   ClassTable mClasses;
-  bool mVersionsChanged = false; /**< Waiting requests must be checked before any dispatch. */
+  SuspectTable mSuspects;
+  /** Versions or quarantined fingerprints changed: waiting requests must be checked first. */
+  bool mWaitingChanged = false;
   RouterReports mReports;
   RouterCounters mCounters;
   boost::random::mt19937_64 mRandom;
