Count attempts, not queue entries, against the runner's bound

Cause: the bound counted attempts that a starting thread had not yet taken, so an attempt within the bound could be refused. Change: the bound holds over running and waiting attempts; a starting thread counts as idle.

--- a/modules/skylarkchute_endpoints/attempts/AttemptRunner.cpp
+++ b/modules/skylarkchute_endpoints/attempts/AttemptRunner.cpp
@@ -66,7 +66,8 @@
   const std::lock_guard lock(mMutex);
   const bool needsWorker = mQueue.size() >= mIdleWorkers;
   const bool mayStart = mWorkers < mOptions.mMaxThreads;
-  if (mStopping || (needsWorker && !mayStart && mQueue.size() >= mOptions.mMaxQueued)) {
+  const auto bound = static_cast<std::size_t>(mOptions.mMaxThreads) + mOptions.mMaxQueued;
+  if (mStopping || mClients.size() >= bound) {
     return false;
   }
   assert(!mClients.contains(aClient->Request().mAttempt));
@@ -76,6 +77,7 @@
     mWorkerList.push_back(std::make_unique<Worker>(*this));
     mPool.start(*mWorkerList.back());
     ++mWorkers;
+    ++mIdleWorkers;
   }
   mWork.notify_one();
   return true;
@@ -85,7 +87,6 @@
 {
   std::unique_lock lock(mMutex);
   while (true) {
-    ++mIdleWorkers;
     mWork.wait(lock, [this] { return mStopping || !mQueue.empty(); });
     --mIdleWorkers;
     if (mQueue.empty()) {
@@ -97,6 +98,7 @@
     client->Run();
     lock.lock();
     mClients.erase(client->Request().mAttempt);
+    ++mIdleWorkers;
   }
 }
 
