--- a/modules/skylarkchute_ledger/skylarkchute_ledger.h
+++ b/modules/skylarkchute_ledger/skylarkchute_ledger.h
@@ -8,3 +8,8 @@
 #include "pins/PinDesk.h"
 #include "registers/RegisterService.h"
 #include "registers/WriteOnceRegisters.h"
+#include "tickets/TicketOffice.h"
+#include "tokens/KeyRing.h"
+#include "tokens/SessionTokens.h"
+#include "usage/UsageFold.h"
+#include "usage/UsageLedger.h"
