--- a/modules/skylarkchute_bundles/evidence/VersionVerdict.h
+++ b/modules/skylarkchute_bundles/evidence/VersionVerdict.h
@@ -5,7 +5,7 @@
 namespace skylarkchute {
 
 /** What a sequential test says of a rolling version against the one that it replaces. */
-enum class VersionHealth
+enum class VersionCondition
 {
   Undecided,
   Healthy,
@@ -15,7 +15,7 @@
 /** The health of a version, with the reason when it is bad. */
 struct VersionVerdict
 {
-  VersionHealth mHealth = VersionHealth::Undecided;
+  VersionCondition mHealth = VersionCondition::Undecided;
   std::string mReason; /**< Such as `errors` or `latency`; empty unless bad. */
   friend bool operator==(const VersionVerdict&, const VersionVerdict&) = default;
 };
--- a/modules/skylarkchute_bundles/lifecycle/BundleArchive.cpp
+++ b/modules/skylarkchute_bundles/lifecycle/BundleArchive.cpp
@@ -1,6 +1,5 @@
 #include "BundleArchive.h"
 
-#include "../model/ValueText.h"
 #include "ObjectKeys.h"
 
 #include <algorithm>
--- a/modules/skylarkchute_bundles/lifecycle/BundleLifecycle.cpp
+++ b/modules/skylarkchute_bundles/lifecycle/BundleLifecycle.cpp
@@ -1,7 +1,6 @@
 #include "BundleLifecycle.h"
 
 #include "../model/BundleParser.h"
-#include "../model/ValueText.h"
 #include "ObjectKeys.h"
 #include "RevertRules.h"
 
--- a/modules/skylarkchute_node/events/NodeEvents.h
+++ b/modules/skylarkchute_node/events/NodeEvents.h
@@ -6,12 +6,6 @@
 
 namespace skylarkchute {
 
-inline constexpr EventDescription kBundleInForce{
-  901,
-  EventLevel::Info,
-  "bundle-in-force",
-  "Another generation of the bundle is in force here."
-};
 inline constexpr EventDescription kRequestRefused{
   902,
   EventLevel::Debug,
@@ -34,7 +28,7 @@
 /** Returns every event of this module. */
 inline std::vector<const EventDescription*> NodeEvents()
 {
-  return { &kBundleInForce, &kRequestRefused, &kPeerMessageUnreadable, &kGenerationUnconfirmed };
+  return { &kRequestRefused, &kPeerMessageUnreadable, &kGenerationUnconfirmed };
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_node/systems/BundleSystem.cpp
+++ b/modules/skylarkchute_node/systems/BundleSystem.cpp
@@ -1,6 +1,5 @@
 #include "BundleSystem.h"
 
-#include "../events/NodeEvents.h"
 #include "../peers/PeerMethods.h"
 #include "RequestSystem.h"
 
@@ -34,8 +33,6 @@
   if (!aOutput.mBundleChanged) {
     return;
   }
-  const auto generation = std::to_string(mParts.mFollower.CurrentGeneration());
-  aPass.AddEvents({ { &kBundleInForce, { { "generation", generation } } } });
   mRequests.TakeSteps(mParts.mRouter.ApplyBundle(mParts.mFollower.Current(), aPass.Now()), aPass);
 }
 
