--- /dev/null
+++ b/app/serve/ServeCommand.cpp
@@ -0,0 +1,73 @@
+#include "ServeCommand.h"
+
+#include "../Commands.h"
+#include "../settings/SettingsFile.h"
+#include "ServeRuntime.h"
+
+#include <Poco/Exception.h>
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <ostream>
+#include <pthread.h>
+
+namespace skylarkchute {
+
+namespace options = boost::program_options;
+
+namespace {
+
+/** Blocks the ending signals in this thread and in those that it starts. */
+sigset_t BlockEndingSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+ExitCode Serve(const Settings& aSettings, std::ostream& aOut)
+{
+  const auto signals = BlockEndingSignals();
+  ServeRuntime runtime(aSettings);
+  aOut << "listening " << aSettings.mInstance.mAddress << ":" << runtime.CallerPort() << std::endl;
+  int received = 0;
+  sigwait(&signals, &received);
+  return runtime.Stop() ? ExitCode::Ok : ExitCode::Failed;
+}
+
+} // namespace
+
+int RunServeCommand(const std::vector<std::string>& aArguments,
+                    std::ostream& aOut,
+                    std::ostream& aErrors)
+{
+  std::string file;
+  std::vector<std::string> overrides;
+  options::options_description description("skylarkchute serve");
+  auto add = description.add_options();
+  add("help", "show this text");
+  add("settings", options::value(&file)->required(), "settings file, see docs/SETTINGS.md");
+  add("set", options::value(&overrides)->composing(), "SECTION.KEY=VALUE, over the file; repeatable");
+  options::variables_map values;
+  options::store(options::command_line_parser(aArguments).options(description).run(), values);
+  if (values.count("help") > 0) {
+    aOut << description;
+    return static_cast<int>(ExitCode::Ok);
+  }
+  options::notify(values);
+  const auto settings = ReadSettingsFile(file, overrides, aErrors);
+  if (!settings) {
+    return static_cast<int>(ExitCode::BadInput);
+  }
+  try {
+    return static_cast<int>(Serve(*settings, aOut));
+  } catch (const Poco::Exception& error) {
+    aErrors << "skylarkchute serve: " << error.displayText() << "\n";
+    return static_cast<int>(ExitCode::Failed);
+  }
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/app/serve/ServeRuntime.cpp
@@ -0,0 +1,498 @@
+#include "ServeRuntime.h"
+
+#include "AttemptBuilder.h"
+#include "AttemptListener.h"
+#include "ServeEvents.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Runnable.h>
+
+namespace skylarkchute {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPeerAnswerTimeout{ 2000 };
+constexpr milliseconds kInstanceListWait{ 10'000 };
+constexpr milliseconds kInstanceListPause{ 100 };
+constexpr milliseconds kLoadTimeout{ 400 };
+constexpr milliseconds kRatingTimeout{ 5000 };
+constexpr milliseconds kFlushTimeout{ 10'000 };
+constexpr milliseconds kDrainPoll{ 20 };
+constexpr int kRatingThreads = 4;
+constexpr std::size_t kIncarnationBytes = 8;
+constexpr std::size_t kSecretBytes = 32;
+constexpr const char* kLatencyMetric = "skylarkchute_request_seconds";
+constexpr const char* kRequestsMetric = "skylarkchute_requests_total";
+
+/** Sorts node actions to their drivers. */
+template<typename... Handlers>
+struct ActionVisitor : Handlers...
+{
+  using Handlers::operator()...;
+};
+
+template<typename... Handlers>
+ActionVisitor(Handlers...) -> ActionVisitor<Handlers...>;
+
+NodeOptions NodeOptionsOf(const Settings& aSettings)
+{
+  NodeOptions options;
+  options.mInstance = aSettings.mInstance.mId;
+  options.mZone = aSettings.mInstance.mZone;
+  options.mIncarnation =
+    MakeIncarnation(aSettings.mInstance.mId, SecureRandomHex(kIncarnationBytes));
+  options.mSeed = StableHash(options.mIncarnation.Value());
+  options.mSecretSeed = SecureRandomHex(kSecretBytes);
+  options.mShards = aSettings.mLedger.mShards;
+  options.mUsageMaxAge = aSettings.mLedger.mUsageMaxAge;
+  options.mFreshness = aSettings.mRouting.mFreshnessBound;
+  return options;
+}
+
+EntryOptions EntryOptionsOf(const Settings& aSettings)
+{
+  EntryOptions options;
+  options.mAddress = aSettings.mInstance.mAddress;
+  options.mPort = aSettings.mInstance.mCallerPort;
+  options.mMaxConnections = static_cast<int>(aSettings.mCallers.mMaxConnections);
+  options.mMaxBodyBytes = aSettings.mCallers.mMaxBodyBytes;
+  options.mReceiveTimeout = aSettings.mCallers.mReceiveTimeout;
+  options.mDefaultTimeout = aSettings.mCallers.mDefaultDeadline;
+  options.mCertificateFile = aSettings.mCallers.mCertificateFile;
+  options.mPrivateKeyFile = aSettings.mCallers.mKeyFile;
+  return options;
+}
+
+PlatformCaller::Options CallerOptionsOf(const Settings& aSettings)
+{
+  PlatformCaller::Options options;
+  options.mBudget.mFleetWritesPerSecond = aSettings.mPlatform.mFleetWritesPerSecond;
+  options.mBudget.mFleetReadsPerSecond = aSettings.mPlatform.mFleetReadsPerSecond;
+  options.mBudget.mSeed = StableHash(aSettings.mInstance.mId.Value());
+  return options;
+}
+
+EndpointRecord EndpointOf(const InstanceRecord& aRecord)
+{
+  EndpointRecord endpoint;
+  endpoint.mId = EndpointId(aRecord.mId);
+  endpoint.mAddress = aRecord.mAddress;
+  endpoint.mPort = aRecord.mPort;
+  endpoint.mZone = aRecord.mZone;
+  endpoint.mKind =
+    aRecord.mKind == InstanceKind::Service ? EndpointKind::Service : EndpointKind::Engine;
+  endpoint.mService = aRecord.mService;
+  endpoint.mLeaving = aRecord.mLeaving;
+  return endpoint;
+}
+
+ProblemReply ProblemOf(const RefuseStep& aRefusal)
+{
+  return { aRefusal.mHttpStatus,
+           aRefusal.mVerdict,
+           aRefusal.mReason,
+           aRefusal.mDetail,
+           aRefusal.mRetryAfter };
+}
+
+ProblemReply BusyProblem()
+{
+  return { 503, Verdict::NotRun, "instance-busy", "This instance is too busy.", milliseconds(1000) };
+}
+
+/** Asks for one rating on a thread of a pool, then deletes itself. */
+class RatingTask final : public Poco::Runnable
+{
+public:
+  explicit RatingTask(std::function<void()> aWork) : mWork(std::move(aWork)) {}
+
+  void run() override
+  {
+    const std::unique_ptr<RatingTask> self(this);
+    mWork();
+  }
+
+private:
+  std::function<void()> mWork;
+};
+
+} // namespace
+
+ServeRuntime::ServeRuntime(const Settings& aSettings)
+  : mSettings(aSettings)
+  , mLog(aSettings.mInstance.mId.Value(), aSettings.mLog.mFormat, aSettings.mLog.mLevel)
+  , mObjectApi(aSettings.mPlatform.mAddress, aSettings.mPlatform.mPort)
+  , mInstanceList(aSettings.mPlatform.mAddress, aSettings.mPlatform.mPort)
+  , mLoop(
+      NodeOptionsOf(aSettings),
+      mClock,
+      [this](const NodeAction& aAction) { Drive(aAction); },
+      [this](const Node& aNode) {
+        mReady = aNode.IsReady();
+        mDrained = aNode.IsDrained();
+        mPlatform->Tick();
+      })
+  , mRatingPool(1, kRatingThreads)
+{
+  mPlatform = std::make_unique<PlatformCaller>(
+    CallerOptionsOf(aSettings),
+    mObjectApi,
+    mClock,
+    [this](const ObjectReply& aReply) {
+      mLoop.Post([aReply](Node& aNode, NodeTime aTime) {
+        return aNode.OnObjectReply(aReply, aTime);
+      });
+    },
+    [this](const LogEvent& aEvent) { mLog.Write(aEvent); });
+  mPeerClient = std::make_unique<PeerClient>(
+    PeerClient::Options{ aSettings.mInstance.mId, aSettings.mPeerSharedKey },
+    mClock,
+    [this](const PeerReply& aReply) {
+      mLoop.Post(
+        [aReply](Node& aNode, NodeTime aTime) { return aNode.OnPeerReply(aReply, aTime); });
+    });
+  PeerServer::Options peers;
+  peers.mSelf = aSettings.mInstance.mId;
+  peers.mAddress = aSettings.mInstance.mAddress;
+  peers.mPort = aSettings.mInstance.mPeerPort;
+  peers.mSharedKey = aSettings.mPeerSharedKey;
+  peers.mMethods = PeerMethods();
+  mPeerServer = std::make_unique<PeerServer>(
+    peers,
+    mClock,
+    [this](const PeerServer::Request& aRequest) { return ServePeer(aRequest); },
+    [this](const InstanceId& aFrom) {
+      mLog.Write({ &kPeerRefused, { { "from", aFrom.Value() } } });
+      mMetrics.Add("skylarkchute_peers_refused_total", "");
+    });
+  mAttempts = std::make_unique<AttemptRunner>(AttemptRunner::Options{});
+  mEntry = std::make_unique<HttpEntry>(EntryOptionsOf(aSettings), *this);
+  mLoop.Start();
+  mInstanceThread =
+    std::make_unique<PeriodicThread>(kInstanceListPause, [this] { ReadInstances(); });
+  mLoadThread =
+    std::make_unique<PeriodicThread>(aSettings.mRouting.mLoadPollPeriod, [this] { PollLoads(); });
+  mLog.Write({ &kInstanceStarted, { { "zone", aSettings.mInstance.mZone.Value() } } });
+}
+
+ServeRuntime::~ServeRuntime()
+{
+  mInstanceThread.reset();
+  mLoadThread.reset();
+  mEntry.reset();
+  mAttempts.reset();
+  mRatingPool.joinAll();
+  mPeerServer.reset();
+  mPeerClient.reset();
+  mPlatform.reset();
+}
+
+bool ServeRuntime::Stop()
+{
+  mLog.Write({ &kInstanceLeaving, {} });
+  mEntry->BeginLeaving();
+  std::this_thread::sleep_for(mSettings.mShutdown.mNotReadyPeriod);
+  mEntry->StopAccepting();
+  const bool whole = mEntry->WaitForSessions(mSettings.mShutdown.mGrace);
+  mDrained = false;
+  mLoop.Post([](Node& aNode, NodeTime aTime) {
+    aNode.BeginLeaving();
+    return aNode.Flush(aTime);
+  });
+  const auto giveUp = mClock.Now() + kFlushTimeout;
+  while (!mDrained && mClock.Now() < giveUp) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  mLog.Write({ &kInstanceStopped, { { "drained", mDrained ? "yes" : "no" } } });
+  return whole && mDrained;
+}
+
+void ServeRuntime::Submit(std::shared_ptr<CallerSession> aSession)
+{
+  mLoop.Post([this, session = std::move(aSession)](Node& aNode, NodeTime aTime) {
+    mBoard.Add(session);
+    return aNode.OnRequest({ session->Facts(), session->Request().mSession }, aTime);
+  });
+}
+
+void ServeRuntime::CallerLeft(const RequestId& aRequest)
+{
+  mLoop.Post([aRequest](Node& aNode, NodeTime aTime) {
+    return aNode.OnCallerLeft(aRequest, aTime);
+  });
+}
+
+ModelsReply ServeRuntime::ModelsFor(const std::string& aApiKey)
+{
+  const auto versions = mLoop.Ask<std::optional<std::vector<VersionId>>>(
+    [aApiKey](Node& aNode, NodeTime) { return aNode.VersionsFor(aApiKey); });
+  if (!versions) {
+    return BusyProblem();
+  }
+  if (!*versions) {
+    return ProblemReply{
+      401, Verdict::NotRun, "unknown-key", "The API key belongs to no team.", milliseconds(0)
+    };
+  }
+  std::vector<ModelListing> listings;
+  for (const auto& it : **versions) {
+    listings.push_back({ it.Value(), "skylarkchute" });
+  }
+  return listings;
+}
+
+TicketReply ServeRuntime::IssueTicket(const std::string& aApiKey)
+{
+  using Issued = std::variant<std::string, RefuseStep>;
+  const auto issued = mLoop.Ask<Issued>([aApiKey](Node& aNode, NodeTime aTime) {
+    return aNode.IssueTicket(aApiKey, aTime);
+  });
+  if (!issued) {
+    return BusyProblem();
+  }
+  if (const auto* refusal = std::get_if<RefuseStep>(&*issued)) {
+    return ProblemOf(*refusal);
+  }
+  return IssuedTicket{ std::get<std::string>(*issued),
+                       mClock.WallNow() + TicketOffice::Options().mLifetime };
+}
+
+std::string ServeRuntime::StatusJson()
+{
+  auto status = mLoop
+                  .Ask<Json::Value>([](Node& aNode, NodeTime aTime) {
+                    return aNode.StatusJson(aTime);
+                  })
+                  .value_or(Json::Value(Json::objectValue));
+  status["store"] = mPlatform->IsOutage() ? "down" : "up";
+  AddEndpoints(status);
+  AddLatencies(status);
+  return WriteJson(status);
+}
+
+std::string ServeRuntime::MetricsText()
+{
+  for (const auto& it : mPlatform->Counts()) {
+    const auto labels = "purpose=\"" + std::string(CallPurposeName(it.mPurpose)) + "\"";
+    mMetrics.Set("skylarkchute_store_calls_total", labels, static_cast<double>(it.mSent));
+    mMetrics.Set("skylarkchute_store_refused_total", labels, static_cast<double>(it.mRefused));
+  }
+  mMetrics.Set("skylarkchute_ready", "", mReady ? 1 : 0);
+  return mMetrics.PrometheusText();
+}
+
+void ServeRuntime::Drive(const NodeAction& aAction)
+{
+  const ActionVisitor visitor{
+    [&](const CallStoreAction& aCall) { mPlatform->Submit(aCall.mCall); },
+    [&](const CallPeerAction& aCall) { mPeerClient->Submit(aCall.mCall); },
+    [&](const AnswerPeerAction& aAnswer) { mPeerAnswers.Answer(aAnswer.mToken, aAnswer.mResult); },
+    [&](const DispatchAction& aDispatch) { Dispatch(aDispatch); },
+    [&](const CancelAction& aCancel) { mAttempts->Cancel(aCancel.mAttempt); },
+    [&](const RefuseAction& aRefuse) {
+      RecordAnswer(aRefuse.mRefusal.mRequest, std::string(VerdictName(aRefuse.mRefusal.mVerdict)));
+      mBoard.Refuse(aRefuse);
+    },
+    [&](const FinishAction& aFinish) {
+      RecordAnswer(aFinish.mRequest, std::string(VerdictName(Verdict::Ran)));
+      mBoard.Finish(aFinish);
+    },
+    [&](const ReplayAction& aReplay) {
+      RecordAnswer(aReplay.mRequest, "replayed");
+      mBoard.Replay(aReplay);
+    },
+    [&](const RateAction& aRate) { Rate(aRate); },
+    [&](const LogAction& aLog) { mLog.Write(aLog.mEvent); },
+  };
+  std::visit(visitor, aAction);
+}
+
+void ServeRuntime::Dispatch(const DispatchAction& aAction)
+{
+  const auto session = mBoard.Find(aAction.mStep.mRequest);
+  if (!session) {
+    return;
+  }
+  mBoard.NoteDispatch(aAction);
+  AttemptListener::Reports reports;
+  reports.mFirstToken = [this](const RequestId& aRequest, const AttemptId& aAttempt) {
+    mLoop.Post([aRequest, aAttempt](Node& aNode, NodeTime aTime) {
+      return aNode.OnFirstToken(aRequest, aAttempt, aTime);
+    });
+  };
+  reports.mEnd = [this](const RequestId& aRequest, const AttemptResult& aResult) {
+    AttemptEnded(aRequest, aResult);
+  };
+  reports.mUnwanted = [this](const AttemptId& aAttempt) { mAttempts->Cancel(aAttempt); };
+  const auto head = mBoard.HeadOf(aAction.mStep.mRequest, aAction.mStep.mAttempt);
+  mAttempts->Submit(BuildAttempt(session->Request(), aAction),
+                    std::make_shared<AttemptListener>(session, head, std::move(reports)));
+}
+
+void ServeRuntime::AttemptEnded(const RequestId& aRequest, const AttemptResult& aResult)
+{
+  mLoop.Post([this, aRequest, aResult](Node& aNode, NodeTime aTime) {
+    mBoard.NoteResult(aRequest, aResult);
+    return aNode.OnAttemptEnd(
+      aRequest,
+      aResult.mAttempt,
+      aResult.mOutcome,
+      { aResult.mOutcome.mHttpStatus, aResult.mContentType, aResult.mBody },
+      aTime);
+  });
+}
+
+void ServeRuntime::RecordAnswer(const RequestId& aRequest, const std::string& aVerdict)
+{
+  const auto session = mBoard.Find(aRequest);
+  if (!session) {
+    return;
+  }
+  const auto& facts = session->Facts();
+  const auto name = facts.mService ? "service:" + facts.mService->Value() : facts.mClass.Value();
+  const auto labels = "class=\"" + name + "\",verdict=\"" + aVerdict + "\"";
+  mMetrics.Add(kRequestsMetric, labels);
+  const auto begun = facts.mArrived;
+  mMetrics.Record(kLatencyMetric,
+                  "class=\"" + name + "\"",
+                  std::chrono::duration_cast<std::chrono::microseconds>(mClock.Now() - begun));
+}
+
+void ServeRuntime::Rate(const RateAction& aAction)
+{
+  const auto session = mBoard.Find(aAction.mWish.mRequest);
+  const auto* result = mBoard.Result(aAction.mWish.mRequest, aAction.mWish.mAttempt);
+  std::optional<InstanceRecord> rater;
+  {
+    const std::lock_guard lock(mEndpointsMutex);
+    rater = mRater;
+  }
+  if (!session || result == nullptr || !rater) {
+    return;
+  }
+  const RatingRequest request{ rater->mAddress,
+                               rater->mPort,
+                               session->Request().mBody,
+                               result->mBody,
+                               aAction.mWish.mVersion.Value() };
+  auto task = std::make_unique<RatingTask>([this, aAction, request] {
+    if (const auto rating = AskRating(request, kRatingTimeout)) {
+      mLoop.Post([aAction, rating](Node& aNode, NodeTime aTime) {
+        return aNode.OnRating(aAction, *rating, aTime);
+      });
+    }
+  });
+  try {
+    mRatingPool.start(*task);
+    task.release();
+  } catch (const Poco::NoThreadAvailableException&) {
+    mMetrics.Add("skylarkchute_ratings_skipped_total", "");
+  }
+}
+
+std::optional<std::string> ServeRuntime::ServePeer(const PeerServer::Request& aRequest)
+{
+  const auto token = mPeerAnswers.Open();
+  mLoop.Post([token, aRequest](Node& aNode, NodeTime aTime) {
+    return aNode.OnPeerRequest(
+      token, aRequest.mFrom, aRequest.mMethod, aRequest.mParams, aTime);
+  });
+  return mPeerAnswers.Wait(token, kPeerAnswerTimeout);
+}
+
+void ServeRuntime::ReadInstances()
+{
+  leaf::try_handle_all(
+    [this]() -> leaf::result<void> {
+      BOOST_LEAF_AUTO(list, mInstanceList.Read(mInstancePosition, kInstanceListWait));
+      if (list.mPosition != mInstancePosition) {
+        ApplyInstances(list);
+      }
+      mInstancePosition = list.mPosition;
+      return {};
+    },
+    [this](const Faults& aFaults) {
+      mLog.Write({ &kInstanceListUnreadable, { { "reason", aFaults.Text() } } });
+    },
+    [] {});
+}
+
+void ServeRuntime::ApplyInstances(const InstanceList& aList)
+{
+  std::vector<EndpointRecord> endpoints;
+  std::vector<PeerRecord> peers;
+  std::optional<InstanceRecord> rater;
+  for (const auto& it : aList.mInstances) {
+    if (it.mKind == InstanceKind::Entry) {
+      peers.push_back(
+        { InstanceId(it.mId), it.mAddress, it.mPeerPort, it.mZone, it.mLeaving });
+    } else if (it.mKind == InstanceKind::Rating) {
+      rater = it;
+    } else {
+      endpoints.push_back(EndpointOf(it));
+    }
+  }
+  {
+    const std::lock_guard lock(mEndpointsMutex);
+    mEndpoints = endpoints;
+    mRater = rater;
+  }
+  mPeerClient->SetPeers(peers);
+  mPlatform->SetFleetSize(peers.size());
+  mLoop.Post([endpoints, peers](Node& aNode, NodeTime aTime) {
+    return aNode.OnInstances(endpoints, peers, aTime);
+  });
+}
+
+void ServeRuntime::PollLoads()
+{
+  std::vector<EndpointRecord> endpoints;
+  {
+    const std::lock_guard lock(mEndpointsMutex);
+    endpoints = mEndpoints;
+  }
+  for (const auto& it : endpoints) {
+    if (const auto report = PollLoad(it, kLoadTimeout)) {
+      mLoop.Post([report](Node& aNode, NodeTime aTime) { return aNode.OnLoad(*report, aTime); });
+    }
+  }
+}
+
+void ServeRuntime::AddLatencies(Json::Value& aStatus) const
+{
+  aStatus["latencies"] = Json::Value(Json::arrayValue);
+  for (const auto& it : mMetrics.HistogramLabels(kLatencyMetric)) {
+    const auto histogram = mMetrics.Histogram(kLatencyMetric, it);
+    const auto quantileMs = [&](double aQuantile) {
+      return std::chrono::duration<double, std::milli>(histogram.Quantile(aQuantile)).count();
+    };
+    Json::Value entry(Json::objectValue);
+    entry["labels"] = it;
+    entry["count"] = Json::UInt64(histogram.Count());
+    entry["p50_ms"] = quantileMs(0.5);
+    entry["p95_ms"] = quantileMs(0.95);
+    entry["p99_ms"] = quantileMs(0.99);
+    entry["drawing"] = histogram.Draw();
+    aStatus["latencies"].append(entry);
+  }
+}
+
+void ServeRuntime::AddEndpoints(Json::Value& aStatus) const
+{
+  aStatus["endpoints"] = Json::Value(Json::arrayValue);
+  const std::lock_guard lock(mEndpointsMutex);
+  for (const auto& it : mEndpoints) {
+    Json::Value entry(Json::objectValue);
+    entry["id"] = it.mId.Value();
+    entry["zone"] = it.mZone.Value();
+    entry["kind"] = it.mKind == EndpointKind::Engine ? "engine" : "service";
+    entry["leaving"] = it.mLeaving;
+    aStatus["endpoints"].append(entry);
+  }
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/app/serve/ServeRuntime.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "AnswerBoard.h"
+#include "NodeLoop.h"
+#include "PeerAnswerTable.h"
+#include "PeriodicThread.h"
+
+#include <skylarkchute_platform/skylarkchute_platform.h>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+
+namespace skylarkchute {
+
+/** Runs one entry instance: connects a node with the drivers of its actions. */
+class ServeRuntime final : public RequestSink
+{
+public:
+  /** Starts everything. Throws Poco::Exception when an address cannot be used. */
+  explicit ServeRuntime(const Settings& aSettings);
+  ~ServeRuntime() override;
+
+  /** Stops gracefully: not ready, then no new connections, then every request and usage record.
+      @returns whether all of them were completed in time */
+  bool Stop();
+
+  /** Returns the port for callers. */
+  std::uint16_t CallerPort() const { return mEntry->Port(); }
+
+  void Submit(std::shared_ptr<CallerSession> aSession) override;
+  void CallerLeft(const RequestId& aRequest) override;
+  ModelsReply ModelsFor(const std::string& aApiKey) override;
+  TicketReply IssueTicket(const std::string& aApiKey) override;
+  std::string StatusJson() override;
+  std::string MetricsText() override;
+  bool IsReady() override { return mReady; }
+
+private:
+  void Drive(const NodeAction& aAction);
+  void Dispatch(const DispatchAction& aAction);
+  void Rate(const RateAction& aAction);
+  void AttemptEnded(const RequestId& aRequest, const AttemptResult& aResult);
+  void RecordAnswer(const RequestId& aRequest, const std::string& aVerdict);
+  std::optional<std::string> ServePeer(const PeerServer::Request& aRequest);
+  void ReadInstances();
+  void ApplyInstances(const InstanceList& aList);
+  void PollLoads();
+  void AddLatencies(Json::Value& aStatus) const;
+  void AddEndpoints(Json::Value& aStatus) const;
+
+  Settings mSettings;
+  SystemClock mClock;
+  EventLog mLog;
+  MetricsRegistry mMetrics;
+  std::atomic<bool> mReady{ false };
+  std::atomic<bool> mDrained{ false };
+  AnswerBoard mBoard;
+  PeerAnswerTable mPeerAnswers;
+  ObjectApiClient mObjectApi;
+  InstanceListClient mInstanceList;
+  std::uint64_t mInstancePosition = 0;
+  mutable std::mutex mEndpointsMutex;
+  std::vector<EndpointRecord> mEndpoints;
+  std::optional<InstanceRecord> mRater;
+  NodeLoop mLoop;
+  std::unique_ptr<PlatformCaller> mPlatform;
+  std::unique_ptr<PeerClient> mPeerClient;
+  std::unique_ptr<PeerServer> mPeerServer;
+  std::unique_ptr<AttemptRunner> mAttempts;
+  std::unique_ptr<HttpEntry> mEntry;
+  Poco::ThreadPool mRatingPool;
+  std::unique_ptr<PeriodicThread> mInstanceThread;
+  std::unique_ptr<PeriodicThread> mLoadThread;
+};
+
+} // namespace skylarkchute
