Roll driver: stages, withdrawal and takeover by conditional updates

Cause: a roll must go on when its driver dies at any step, and a bad version must stop at once on every instance that sees it. Change: RollDriver over TrackedRoll and the pure NextRecord; ranks by rendezvous hashing; evidence checkpoints that several drivers cannot add up twice; the audit record of a withdrawal is derived from the roll object.

--- a/modules/skylarkchute_bundles/skylarkchute_bundles.h
+++ b/modules/skylarkchute_bundles/skylarkchute_bundles.h
@@ -24,4 +24,6 @@
 #include "parts/BundleHead.h"
 #include "parts/BundleParts.h"
 #include "rolls/EvidenceTotals.h"
+#include "rolls/RollDriver.h"
+#include "rolls/RollProgress.h"
 #include "rolls/RollRecord.h"
