Operator commands: bundle, audit and check of bundles

Cause: operators drive the fleet only by these commands. Change: RunBundleCommand, RunAuditCommand and RunCheckBundle over any ObjectApi. Conclusion: bad input exits with 2, refusals and a silent platform with 1.

--- /dev/null
+++ b/app/bundles/AuditCommand.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <skylarkchute_bundles/skylarkchute_bundles.h>
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace skylarkchute {
+
+/** Runs `audit`: prints who proposed, approved, rolled, reverted or withdrew what, and when.
+    @param aArguments  without the program's and the command's name
+    @returns an ExitCode */
+int RunAuditCommand(const std::vector<std::string>& aArguments,
+                    ObjectApi& aStore,
+                    std::ostream& aOut,
+                    std::ostream& aErrors,
+                    const Clock& aClock = SystemClock{});
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_bundles/skylarkchute_bundles.h
+++ b/modules/skylarkchute_bundles/skylarkchute_bundles.h
@@ -21,6 +21,7 @@
 #include "model/Bundle.h"
 #include "model/BundleParser.h"
 #include "model/BundleText.h"
+#include "model/ValueText.h"
 #include "parts/BundleHead.h"
 #include "parts/BundleParts.h"
 #include "rolls/EvidenceTotals.h"
