--- /dev/null
+++ b/modules/skylarkchute_peers/quota/QuotaShares.cpp
@@ -0,0 +1,180 @@
+#include "QuotaShares.h"
+
+#include "../events/PeersEvents.h"
+#include "../messages/Methods.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace skylarkchute {
+
+QuotaShares::QuotaShares(InstanceId aSelf, QuotaOptions aOptions)
+  : mSelf(std::move(aSelf))
+  , mOptions(aOptions)
+  , mMembers{ mSelf }
+{
+  assert(mOptions.mSilentAfter + 2 * mOptions.mPeriod < 2 * mOptions.mGrantLife);
+}
+
+void QuotaShares::SetLimits(std::vector<LimitShare> aLimits)
+{
+  mLimits = std::move(aLimits);
+  mLastShares.clear();
+}
+
+InstanceId QuotaShares::CollectorOf(const TeamName& aTeam) const
+{
+  const auto order = RendezvousOrder("quota/" + aTeam.Value(), mMembers, 1);
+  return order.empty() ? mSelf : order.front();
+}
+
+QuotaFractions QuotaShares::InForce(const TeamName& aTeam, TimePoint aNow) const
+{
+  const double equal = 1.0 / static_cast<double>(std::max<std::size_t>(mMembers.size(), 1));
+  const auto it = mGrants.find(aTeam);
+  const bool granted = it != mGrants.end() && it->second.mSince;
+  const auto age = aNow - (granted ? *it->second.mSince : mStartedAt.value_or(aNow));
+  if (age > 2 * mOptions.mGrantLife) {
+    return { equal, equal };
+  }
+  if (!granted) {
+    return { mOptions.mFloor * equal, mOptions.mFloor * equal };
+  }
+  const auto& fractions = it->second.mFractions;
+  if (age > mOptions.mGrantLife) {
+    return { std::min(fractions.mRequests, equal), std::min(fractions.mTokens, equal) };
+  }
+  return fractions;
+}
+
+QuotaOutput QuotaShares::Tick(const std::vector<TeamDemand>& aDemand, TimePoint aNow)
+{
+  QuotaOutput output;
+  if (!mStartedAt) {
+    mStartedAt = aNow;
+    mNextReport = aNow;
+  }
+  if (aNow >= mNextReport) {
+    mNextReport = std::max(mNextReport + mOptions.mPeriod, aNow);
+    SendReports(aDemand, aNow, output);
+  }
+  NoteSilence(aNow, output);
+  output.mShares = ChangedShares(aNow);
+  return output;
+}
+
+void QuotaShares::NoteSilence(TimePoint aNow, QuotaOutput& aOutput)
+{
+  for (const auto& limit : mLimits) {
+    auto& grant = mGrants[limit.mTeam];
+    const auto since = grant.mSince.value_or(*mStartedAt);
+    const bool silent = aNow - since > 2 * mOptions.mGrantLife;
+    if (silent && !grant.mSilent) {
+      aOutput.mEvents.push_back({ &kQuotaSilent, { { "team", limit.mTeam.Value() } } });
+    }
+    grant.mSilent = silent;
+  }
+}
+
+void QuotaShares::SendReports(const std::vector<TeamDemand>& aDemand,
+                              TimePoint aNow,
+                              QuotaOutput& aOutput)
+{
+  std::map<InstanceId, QuotaReport> reports;
+  for (const auto& limit : mLimits) {
+    const auto demand = std::find_if(aDemand.begin(), aDemand.end(), [&](const TeamDemand& aTeam) {
+      return aTeam.mTeam == limit.mTeam;
+    });
+    QuotaReportRow row{ { limit.mTeam, 0, 0 }, InForce(limit.mTeam, aNow) };
+    if (demand != aDemand.end()) {
+      row.mDemand = *demand;
+    }
+    auto& report = reports[CollectorOf(limit.mTeam)];
+    report.mFrom = mSelf;
+    report.mRows.push_back(row);
+  }
+  for (const auto& [to, report] : reports) {
+    if (to == mSelf) {
+      TakeGrants(Allocate(report, aNow), aNow);
+      continue;
+    }
+    const auto id = mNextCall++;
+    mSent.emplace(id, aNow);
+    aOutput.mCalls.push_back(
+      { id, to, kQuotaDemandMethod, EncodeQuotaReport(report), mOptions.mPeriod / 2 });
+  }
+}
+
+QuotaGrants QuotaShares::Allocate(const QuotaReport& aReport, TimePoint aNow)
+{
+  QuotaGrants grants;
+  for (const auto& it : aReport.mRows) {
+    const auto& team = it.mDemand.mTeam;
+    const ShareAllocator fresh(mOptions, aNow);
+    auto& allocators = mAllocators.try_emplace(team, Allocators{ fresh, fresh }).first->second;
+    grants.mRows.push_back(
+      { team,
+        { allocators.mRequests.Report(
+            aReport.mFrom, it.mDemand.mRequestsPerSecond, it.mHeld.mRequests, mMembers, aNow),
+          allocators.mTokens.Report(
+            aReport.mFrom, it.mDemand.mTokensPerSecond, it.mHeld.mTokens, mMembers, aNow) } });
+  }
+  return grants;
+}
+
+std::string QuotaShares::OnReport(const std::string& aParams, TimePoint aNow)
+{
+  const auto report = DecodeQuotaReport(aParams);
+  return EncodeQuotaGrants(report ? Allocate(*report, aNow) : QuotaGrants());
+}
+
+QuotaOutput QuotaShares::OnReply(const PeerReply& aReply, TimePoint aNow)
+{
+  QuotaOutput output;
+  const auto sent = mSent.find(aReply.mId);
+  if (sent == mSent.end()) {
+    return output;
+  }
+  const auto since = sent->second;
+  mSent.erase(sent);
+  const auto grants = aReply.mOk ? DecodeQuotaGrants(aReply.mResult) : std::nullopt;
+  // A reply that took longer than a period may be older than a later report.
+  if (!grants || aNow - since > mOptions.mPeriod) {
+    return output;
+  }
+  TakeGrants(*grants, since);
+  output.mShares = ChangedShares(aNow);
+  return output;
+}
+
+void QuotaShares::TakeGrants(const QuotaGrants& aGrants, TimePoint aSince)
+{
+  for (const auto& it : aGrants.mRows) {
+    auto& grant = mGrants[it.mTeam];
+    grant.mSince = aSince;
+    grant.mFractions = it.mFractions;
+  }
+}
+
+std::vector<LimitShare> QuotaShares::ChangedShares(TimePoint aNow)
+{
+  std::vector<LimitShare> shares;
+  bool changed = mLastShares.size() != mLimits.size();
+  for (std::size_t n = 0; n < mLimits.size(); ++n) {
+    const auto& limit = mLimits[n];
+    const auto fractions = InForce(limit.mTeam, aNow);
+    const LimitShare share{ limit.mTeam,
+                            limit.mRequestsPerSecond * fractions.mRequests,
+                            limit.mTokensPerSecond * fractions.mTokens };
+    changed = changed || share.mRequestsPerSecond != mLastShares[n].mRequestsPerSecond ||
+              share.mTokensPerSecond != mLastShares[n].mTokensPerSecond;
+    shares.push_back(share);
+  }
+  if (!changed) {
+    return {};
+  }
+  mLastShares = shares;
+  return shares;
+}
+
+} // namespace skylarkchute
