--- a/modules/skylarkchute_peers/alerts/AlertSpreader.h
+++ b/modules/skylarkchute_peers/alerts/AlertSpreader.h
@@ -42,7 +42,7 @@
     InstanceId mSelf;
     std::uint32_t mSeed = 0;
     std::size_t mFanout = 3;
-    std::uint32_t mRounds = 4;
+    std::uint32_t mRounds = 6;
     std::chrono::milliseconds mRoundTime{ 200 };
     std::chrono::seconds mRemember{ 60 };
     std::size_t mMostRemembered = 4096;
--- a/modules/skylarkchute_peers/evidence/EvidenceTree.cpp
+++ b/modules/skylarkchute_peers/evidence/EvidenceTree.cpp
@@ -284,7 +284,7 @@
   }
 }
 
-void EvidenceTree::OnReply(const PeerReply& aReply)
+void EvidenceTree::OnReply(const PeerReply& aReply, TimePoint aNow)
 {
   const auto it = mSent.find(aReply.mId);
   if (it == mSent.end()) {
@@ -300,6 +300,7 @@
               : sent.mFlow == Flow::TotalDown ? mTotalDue
                                               : mDownDue;
   due.insert(sent.mKeys.begin(), sent.mKeys.end());
+  mNextSend = std::min(mNextSend.value_or(aNow), aNow + mOptions.mRetry);
 }
 
 void EvidenceTree::ForgetOld(WallTime aWallNow)
--- a/modules/skylarkchute_peers/evidence/EvidenceTree.h
+++ b/modules/skylarkchute_peers/evidence/EvidenceTree.h
@@ -33,6 +33,8 @@
     std::chrono::milliseconds mWindow{ 10000 };
     std::uint64_t mWindowsKept = 6;
     std::chrono::milliseconds mPeriod{ 5000 };
+    /** What did not arrive is sent again after this time. */
+    std::chrono::milliseconds mRetry{ 500 };
     std::chrono::milliseconds mCallTimeout{ 1000 };
     /** In larger fleets the counters of all teams are added up before they are sent. */
     std::size_t mMostMembersWithTeams = 40;
@@ -63,7 +65,7 @@
   EvidenceOutput OnDown(const std::string& aParams);
 
   /** Takes in the outcome of a call: what did not arrive is sent again. */
-  void OnReply(const PeerReply& aReply);
+  void OnReply(const PeerReply& aReply, TimePoint aNow);
 
   /** Returns the number of counter rows in memory. */
   std::size_t RowCount() const;
--- a/modules/skylarkchute_peers/quota/QuotaMessages.cpp
+++ b/modules/skylarkchute_peers/quota/QuotaMessages.cpp
@@ -36,6 +36,7 @@
     // Held fractions are rounded up, so that the collector never assumes too little.
     row["hr"] = ToParts(it.mHeld.mRequests) + 1;
     row["hk"] = ToParts(it.mHeld.mTokens) + 1;
+    row["s"] = it.mStale;
     json["rows"].append(row);
   }
   return WriteJson(json);
@@ -53,6 +54,7 @@
     out.mDemand.mRequestsPerSecond = FromParts(row, "r");
     out.mDemand.mTokensPerSecond = FromParts(row, "k");
     out.mHeld = { FromParts(row, "hr"), FromParts(row, "hk") };
+    out.mStale = row.Flag("s");
     if (!row.IsValid()) {
       return std::nullopt;
     }
--- a/modules/skylarkchute_peers/quota/QuotaMessages.h
+++ b/modules/skylarkchute_peers/quota/QuotaMessages.h
@@ -18,6 +18,7 @@
 {
   TeamDemand mDemand;
   QuotaFractions mHeld; /**< In force at the sender. */
+  bool mStale = false;  /**< The sender has had no grant for a while. */
 };
 
 /** Peer message `quota.demand` to the collectors of the teams in it. */
--- a/modules/skylarkchute_peers/quota/QuotaShares.cpp
+++ b/modules/skylarkchute_peers/quota/QuotaShares.cpp
@@ -85,7 +85,9 @@
     const auto demand = std::find_if(aDemand.begin(), aDemand.end(), [&](const TeamDemand& aTeam) {
       return aTeam.mTeam == limit.mTeam;
     });
-    QuotaReportRow row{ { limit.mTeam, 0, 0 }, InForce(limit.mTeam, aNow) };
+    const auto since = mGrants[limit.mTeam].mSince.value_or(*mStartedAt);
+    const bool stale = aNow - since > mOptions.mSilentAfter;
+    QuotaReportRow row{ { limit.mTeam, 0, 0 }, InForce(limit.mTeam, aNow), stale };
     if (demand != aDemand.end()) {
       row.mDemand = *demand;
     }
@@ -112,12 +114,19 @@
     const auto& team = it.mDemand.mTeam;
     const ShareAllocator fresh(mOptions, aNow);
     auto& allocators = mAllocators.try_emplace(team, Allocators{ fresh, fresh }).first->second;
-    grants.mRows.push_back(
-      { team,
-        { allocators.mRequests.Report(
-            aReport.mFrom, it.mDemand.mRequestsPerSecond, it.mHeld.mRequests, mMembers, aNow),
-          allocators.mTokens.Report(
-            aReport.mFrom, it.mDemand.mTokensPerSecond, it.mHeld.mTokens, mMembers, aNow) } });
+    grants.mRows.push_back({ team,
+                             { allocators.mRequests.Report(aReport.mFrom,
+                                                           it.mDemand.mRequestsPerSecond,
+                                                           it.mHeld.mRequests,
+                                                           it.mStale,
+                                                           mMembers,
+                                                           aNow),
+                               allocators.mTokens.Report(aReport.mFrom,
+                                                         it.mDemand.mTokensPerSecond,
+                                                         it.mHeld.mTokens,
+                                                         it.mStale,
+                                                         mMembers,
+                                                         aNow) } });
   }
   return grants;
 }
--- a/modules/skylarkchute_peers/quota/ShareAllocator.cpp
+++ b/modules/skylarkchute_peers/quota/ShareAllocator.cpp
@@ -7,7 +7,7 @@
 
 bool ShareAllocator::IsSilent(const MemberState& aState, TimePoint aNow) const
 {
-  return aNow - aState.mReportedAt > mOptions.mSilentAfter;
+  return aState.mStale || aNow - aState.mReportedAt > mOptions.mSilentAfter;
 }
 
 double ShareAllocator::ReservedFor(const InstanceId& aMember, double aEqual, TimePoint aNow) const
@@ -44,11 +44,18 @@
 double ShareAllocator::Report(const InstanceId& aFrom,
                               double aDemand,
                               double aHeld,
+                              bool aStale,
                               const std::vector<InstanceId>& aMembers,
                               TimePoint aNow)
 {
   const double equal = 1.0 / static_cast<double>(std::max<std::size_t>(aMembers.size(), 1));
-  mMembers[aFrom] = { aDemand, aHeld, aNow };
+  if (aNow - mLastReport > mOptions.mPeriod + mOptions.mPeriod / 4) {
+    // Another instance may have been the collector meanwhile.
+    mMembers.clear();
+    mStartedAt = aNow;
+  }
+  mLastReport = aNow;
+  mMembers[aFrom] = { aDemand, aHeld, aNow, aStale };
   const std::set<InstanceId> members(aMembers.begin(), aMembers.end());
   for (auto it = mMembers.begin(); it != mMembers.end();) {
     const bool gone =
@@ -75,7 +82,7 @@
     }
   }
   const double available = std::max(0.0, 1 - reservedForSilent);
-  double fraction = Target(aFrom, available, equal, aNow);
+  double fraction = aStale ? equal : Target(aFrom, available, equal, aNow);
   fraction = std::min(fraction, std::max(0.0, 1 - reservedForOthers));
   if (!allKnown && aNow - mStartedAt < mOptions.mGrantLife) {
     // Members that have not reported yet may hold grants of an earlier collector.
--- a/modules/skylarkchute_peers/quota/ShareAllocator.h
+++ b/modules/skylarkchute_peers/quota/ShareAllocator.h
@@ -26,15 +26,18 @@
   explicit ShareAllocator(QuotaOptions aOptions, TimePoint aNow)
     : mOptions(aOptions)
     , mStartedAt(aNow)
+    , mLastReport(aNow)
   {
   }
 
   /** Takes in the report of one member and returns its new fraction.
       @param aDemand  per second
-      @param aHeld    the fraction that the member has in force */
+      @param aHeld    the fraction that the member has in force
+      @param aStale   the member gets no grants, and will fall back to the equal share */
   double Report(const InstanceId& aFrom,
                 double aDemand,
                 double aHeld,
+                bool aStale,
                 const std::vector<InstanceId>& aMembers,
                 TimePoint aNow);
 
@@ -44,6 +47,7 @@
     double mDemand = 0;
     double mOutstanding = 0; /**< The largest fraction that may be in force there. */
     TimePoint mReportedAt;
+    bool mStale = false;
   };
 
   bool IsSilent(const MemberState& aState, TimePoint aNow) const;
@@ -52,6 +56,7 @@
 
   QuotaOptions mOptions;
   TimePoint mStartedAt;
+  TimePoint mLastReport;
   std::map<InstanceId, MemberState> mMembers;
 };
 
