--- a/app/serve/AnswerBoard.cpp
+++ b/app/serve/AnswerBoard.cpp
@@ -2,10 +2,17 @@
 
 namespace skylarkchute {
 
-void AnswerBoard::Add(std::shared_ptr<CallerSession> aSession)
+void AnswerBoard::Add(std::shared_ptr<CallerSession> aSession, TimePoint aNow)
 {
-  const auto request = aSession->Facts().mId;
-  mEntries[request].mSession = std::move(aSession);
+  auto& entry = mEntries[aSession->Facts().mId];
+  entry.mArrived = aNow;
+  entry.mSession = std::move(aSession);
+}
+
+TimePoint AnswerBoard::ArrivedAt(const RequestId& aRequest, TimePoint aNow) const
+{
+  const auto it = mEntries.find(aRequest);
+  return it == mEntries.end() ? aNow : it->second.mArrived;
 }
 
 std::shared_ptr<CallerSession> AnswerBoard::Find(const RequestId& aRequest) const
--- a/app/serve/AnswerBoard.h
+++ b/app/serve/AnswerBoard.h
@@ -15,7 +15,10 @@
 {
 public:
   /** Adds a session. */
-  void Add(std::shared_ptr<CallerSession> aSession);
+  void Add(std::shared_ptr<CallerSession> aSession, TimePoint aNow);
+
+  /** Returns when a session was added; @p aNow for an unknown one. */
+  TimePoint ArrivedAt(const RequestId& aRequest, TimePoint aNow) const;
 
   /** Returns the session of a request, or null. */
   std::shared_ptr<CallerSession> Find(const RequestId& aRequest) const;
@@ -51,6 +54,7 @@
   struct Entry
   {
     std::shared_ptr<CallerSession> mSession;
+    TimePoint mArrived;
     std::map<AttemptId, Attempt> mAttempts;
   };
 
--- a/app/serve/ServeRuntime.cpp
+++ b/app/serve/ServeRuntime.cpp
@@ -214,7 +214,7 @@
 void ServeRuntime::Submit(std::shared_ptr<CallerSession> aSession)
 {
   mLoop.Post([this, session = std::move(aSession)](Node& aNode, NodeTime aTime) {
-    mBoard.Add(session);
+    mBoard.Add(session, aTime.mNow);
     return aNode.OnRequest({ session->Facts(), session->Request().mSession }, aTime);
   });
 }
@@ -356,10 +356,11 @@
   const auto name = facts.mService ? "service:" + facts.mService->Value() : facts.mClass.Value();
   const auto labels = "class=\"" + name + "\",verdict=\"" + aVerdict + "\"";
   mMetrics.Add(kRequestsMetric, labels);
-  const auto begun = facts.mArrived;
+  const auto now = mClock.Now();
+  const auto latency = now - mBoard.ArrivedAt(aRequest, now);
   mMetrics.Record(kLatencyMetric,
                   "class=\"" + name + "\"",
-                  std::chrono::duration_cast<std::chrono::microseconds>(mClock.Now() - begun));
+                  std::chrono::duration_cast<std::chrono::microseconds>(latency));
 }
 
 void ServeRuntime::Rate(const RateAction& aAction)
--- a/modules/skylarkchute_platform/instances/InstanceList.cpp
+++ b/modules/skylarkchute_platform/instances/InstanceList.cpp
@@ -23,6 +23,9 @@
   if (aText == "service") {
     return InstanceKind::Service;
   }
+  if (aText == "rating") {
+    return InstanceKind::Rating;
+  }
   return leaf::new_error(Faults{ { { aId, "kind", "unknown kind '" + aText + "'" } } });
 }
 
--- a/modules/skylarkchute_platform/instances/InstanceList.h
+++ b/modules/skylarkchute_platform/instances/InstanceList.h
@@ -15,6 +15,7 @@
   Entry,
   Engine,
   Service,
+  Rating, /**< The rating service. */
 };
 
 /** One entry of the platform's instance list: an entry instance or an endpoint. */
