--- a/modules/skylarkchute_endpoints/connections/EndpointConnection.cpp
+++ b/modules/skylarkchute_endpoints/connections/EndpointConnection.cpp
@@ -93,7 +93,7 @@
   if (dynamic_cast<const Poco::TimeoutException*>(failure) != nullptr) {
     return ReadEnd::TimedOut;
   }
-  if (failure != nullptr) {
+  if (failure != nullptr || mBody->bad()) {
     return ReadEnd::Broken;
   }
   if (mResponse.hasContentLength()) {
--- a/modules/skylarkchute_endpoints/skylarkchute_endpoints.h
+++ b/modules/skylarkchute_endpoints/skylarkchute_endpoints.h
@@ -13,3 +13,4 @@
 #include "ratings/RatingClient.h"
 #include "streams/StreamAssembler.h"
 #include "streams/StreamChunk.h"
+#include "json/JsonObject.h"
--- a/modules/skylarkchute_entry/http/ConnectionRegistry.cpp
+++ b/modules/skylarkchute_entry/http/ConnectionRegistry.cpp
@@ -30,9 +30,6 @@
 {
   const std::lock_guard lock(mRegistry.mMutex);
   mPhase = Phase::Idle;
-  if (mRegistry.mDraining) {
-    ShutReceive();
-  }
 }
 
 void ConnectionRegistry::Entry::BeginReading(std::chrono::milliseconds aTimeout)
@@ -83,11 +80,6 @@
 {
   const std::lock_guard lock(mMutex);
   mDraining = true;
-  for (auto* it : mEntries) {
-    if (it->mPhase == Entry::Phase::Idle) {
-      it->ShutReceive();
-    }
-  }
 }
 
 bool ConnectionRegistry::IsDraining() const
--- a/modules/skylarkchute_entry/http/ConnectionRegistry.h
+++ b/modules/skylarkchute_entry/http/ConnectionRegistry.h
@@ -14,9 +14,9 @@
 
 /** Knows every connection of callers and ends those that take too long to send a request.
 
-    A connection is idle, reading or busy. An idle one is ended when the entry drains, a reading
-    one when its time is up: its receiving side is shut, so that the thread that reads sees the end
-    and can still answer. A busy one is left alone. Safe to use from several threads. */
+    A connection is idle, reading or busy. A reading one is ended when its time is up: its receiving
+    side is shut, so that the thread that reads sees the end and can still answer. The others are
+    left to their threads. Safe to use from several threads. */
 class ConnectionRegistry
 {
 public:
@@ -30,7 +30,7 @@
     Entry(const Entry&) = delete;
     Entry& operator=(const Entry&) = delete;
 
-    /** The connection waits for a request. Ends it when the entry drains. */
+    /** The connection waits for a request. */
     void BeginIdle();
 
     /** A request has begun to arrive and must be whole in time. */
@@ -68,7 +68,7 @@
   ConnectionRegistry(const ConnectionRegistry&) = delete;
   ConnectionRegistry& operator=(const ConnectionRegistry&) = delete;
 
-  /** Ends idle connections, now and from now on. */
+  /** Asks idle connections to end, now and from now on. */
   void Drain();
 
   bool IsDraining() const;
--- a/modules/skylarkchute_entry/http/EntryConnection.h
+++ b/modules/skylarkchute_entry/http/EntryConnection.h
@@ -24,9 +24,12 @@
 
 private:
   void ServeRequests();
+  bool WaitForRequest(Poco::Net::HTTPServerSession& aSession);
   bool ServeNext(Poco::Net::HTTPServerSession& aSession);
+  void Linger();
   void Refuse(Poco::Net::HTTPServerResponse& aResponse, const ProblemReply& aProblem);
 
+  SystemClock mClock;
   EntryContext mContext;
   ConnectionRegistry& mRegistry;
   TlsIdentity* mTls;
--- a/modules/skylarkchute_entry/http/EntryOptions.h
+++ b/modules/skylarkchute_entry/http/EntryOptions.h
@@ -19,6 +19,8 @@
   std::chrono::milliseconds mKeepAliveTimeout{ 30'000 }; /**< Between requests. */
   std::chrono::milliseconds mDefaultTimeout{ 60'000 };   /**< Without `Skylark-Timeout-Ms`. */
   std::chrono::milliseconds mMaxTimeout{ 600'000 };
+  /** How long after its deadline a request may be undecided before its caller is told so. */
+  std::chrono::milliseconds mDecisionGrace{ 5'000 };
   std::string mCertificateFile; /**< PEM chain; empty for plain HTTP. */
   std::string mPrivateKeyFile;  /**< PEM. */
 };
--- a/modules/skylarkchute_entry/http/HttpEntry.cpp
+++ b/modules/skylarkchute_entry/http/HttpEntry.cpp
@@ -2,7 +2,6 @@
 
 #include "EntryConnection.h"
 
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/Thread.h>
 
@@ -16,6 +15,8 @@
 constexpr int kMinThreads = 2;
 constexpr int kServiceUnavailable = 503;
 constexpr int kIdleSeconds = 60;
+// Also the longest that a thread may overlook the end of the server.
+constexpr int kThreadIdleMs = 500;
 constexpr std::chrono::milliseconds kRetryAfter{ 1000 };
 constexpr std::chrono::milliseconds kStopTime{ 1000 };
 constexpr long kQueuePollMs = 5;
@@ -93,12 +94,16 @@
   assert(mOptions.mMaxConnections > 0);
   Poco::Net::TCPServerParams::Ptr params(new Poco::Net::TCPServerParams);
   params->setMaxThreads(mOptions.mMaxConnections);
+  params->setThreadIdleTime(Poco::Timespan(kThreadIdleMs * Poco::Timespan::MILLISECONDS));
   params->setMaxQueued(mOptions.mMaxConnections);
-  Poco::Net::ServerSocket listener;
-  listener.bind(Poco::Net::SocketAddress(mOptions.mAddress, mOptions.mPort), true);
-  listener.listen(kBacklog);
+  mListener.bind(Poco::Net::SocketAddress(mOptions.mAddress, mOptions.mPort), true);
+  mListener.listen(kBacklog);
+  mPort = mListener.address().port();
   mServer = std::make_unique<Poco::Net::TCPServer>(
-    Poco::Net::TCPServerConnectionFactory::Ptr(new Factory(*this, aSink)), mPool, listener, params);
+    Poco::Net::TCPServerConnectionFactory::Ptr(new Factory(*this, aSink)),
+    mPool,
+    mListener,
+    params);
   mServer->setConnectionFilter(Poco::Net::TCPServerConnectionFilter::Ptr(new Filter(*this)));
   mServer->start();
 }
@@ -110,11 +115,6 @@
   mPool.joinAll();
 }
 
-std::uint16_t HttpEntry::Port() const
-{
-  return mServer->port();
-}
-
 void HttpEntry::BeginLeaving()
 {
   mLeaving = true;
@@ -138,6 +138,7 @@
     Poco::Thread::sleep(kQueuePollMs);
   }
   mServer->stop();
+  mListener.close();
   mRegistry.Drain();
 }
 
--- a/modules/skylarkchute_entry/http/HttpEntry.h
+++ b/modules/skylarkchute_entry/http/HttpEntry.h
@@ -7,6 +7,7 @@
 #include "RefusalLane.h"
 #include "TlsIdentity.h"
 
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 
@@ -33,7 +34,7 @@
   HttpEntry& operator=(const HttpEntry&) = delete;
 
   /** Returns the port listened on. */
-  std::uint16_t Port() const;
+  std::uint16_t Port() const { return mPort; }
 
   /** Makes `/readyz` fail; requests are still served. */
   void BeginLeaving();
@@ -52,6 +53,12 @@
   /** Returns how many connections were refused since the start. */
   std::uint64_t RefusedConnections() const { return mRefused; }
 
+  /** Returns how often a changed certificate was taken up; zero without TLS. */
+  std::uint64_t CertificateReloads() const { return mTls ? mTls->Reloads() : 0; }
+
+  /** Returns how often a changed certificate could not be used; zero without TLS. */
+  std::uint64_t FailedCertificateReloads() const { return mTls ? mTls->FailedReloads() : 0; }
+
 private:
   class Filter;
   class Factory;
@@ -67,6 +74,8 @@
   RefusalLane mRefusals;
   ConnectionRegistry mRegistry;
   Poco::ThreadPool mPool;
+  Poco::Net::ServerSocket mListener;
+  std::uint16_t mPort = 0;
   std::unique_ptr<Poco::Net::TCPServer> mServer;
 };
 
--- a/modules/skylarkchute_entry/http/RouteHandler.cpp
+++ b/modules/skylarkchute_entry/http/RouteHandler.cpp
@@ -1,13 +1,11 @@
 #include "RouteHandler.h"
 
 #include "MessageWriter.h"
+#include "PeerState.h"
 
 #include <skylarkchute_endpoints/json/JsonObject.h>
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPServerSession.h>
-
-#include <poll.h>
 
 #include <array>
 
@@ -18,7 +16,6 @@
 constexpr std::size_t kIdBytes = 12;
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr std::chrono::milliseconds kLeavePollPeriod{ 100 };
-constexpr std::chrono::milliseconds kDeadlineGrace{ 5000 };
 constexpr std::string_view kChatPath = "/v1/chat/completions";
 constexpr std::string_view kModelsPath = "/v1/models";
 constexpr std::string_view kTicketsPath = "/v1/tickets";
@@ -162,11 +159,14 @@
   if (mRequest.getExpectContinue()) {
     mResponse.sendContinue();
   }
+  if (!hasLength && !mRequest.getChunkedTransferEncoding()) {
+    return std::nullopt;
+  }
   auto& in = mRequest.stream();
   std::array<char, kReadBytes> buf{};
-  while (in.good()) {
-    in.read(buf.data(), static_cast<std::streamsize>(buf.size()));
-    const auto count = static_cast<std::size_t>(in.gcount());
+  while (in.peek() != std::istream::traits_type::eof()) {
+    const auto count =
+      static_cast<std::size_t>(in.readsome(buf.data(), static_cast<std::streamsize>(buf.size())));
     if (aBody.size() + count > maxBytes) {
       return problem(kPayloadTooLarge, "body-too-large", "the body is over the bound");
     }
@@ -175,12 +175,10 @@
     }
     aBody.append(buf.data(), count);
   }
-  const auto* failure = mRequest.session().networkException();
-  const bool late = dynamic_cast<const Poco::TimeoutException*>(failure) != nullptr;
-  if (late || mConnection.IsExpired()) {
+  if (mConnection.IsExpired()) {
     return problem(kRequestTimeout, "slow-request", "the request took too long to arrive");
   }
-  if (failure != nullptr || (hasLength && aBody.size() < length)) {
+  if (in.bad() || (hasLength && aBody.size() < length) || IsClosedByPeer(mRequest.socket())) {
     return problem(kBadRequest, "body-cut-off", "the body ended before its length");
   }
   return std::nullopt;
@@ -188,7 +186,7 @@
 
 bool RouteHandler::Relay(const std::shared_ptr<CallerSession>& aSession)
 {
-  const auto giveUpAt = aSession->Facts().mDeadline + kDeadlineGrace;
+  const auto giveUpAt = aSession->Facts().mDeadline + mContext.mOptions.mDecisionGrace;
   MessageWriter writer(mWriter);
   while (!writer.IsDone()) {
     const auto message = aSession->Wait(kLeavePollPeriod);
@@ -202,7 +200,8 @@
                           std::chrono::milliseconds(0) });
       mContext.mSink.CallerLeft(mId);
     }
-    if (writer.HasCallerLeft() || (!message && HasCallerLeft())) {
+    if (writer.HasCallerLeft() || (!message && IsClosedByPeer(mRequest.socket())) ||
+        aSession->HasCallerLeft()) {
       aSession->MarkCallerLeft();
       mContext.mSink.CallerLeft(mId);
       return false;
@@ -211,13 +210,6 @@
   return !writer.HasFailed();
 }
 
-bool RouteHandler::HasCallerLeft() const
-{
-  pollfd descriptor{ mRequest.socket().impl()->sockfd(), POLLRDHUP, 0 };
-  return ::poll(&descriptor, 1, 0) > 0 &&
-         (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
 bool RouteHandler::ServeModels()
 {
   const auto reply =
--- a/modules/skylarkchute_entry/http/RouteHandler.h
+++ b/modules/skylarkchute_entry/http/RouteHandler.h
@@ -50,7 +50,6 @@
   std::optional<ProblemReply> ReadBody(std::string& aBody);
   RawRequest Raw(std::string aBody) const;
   bool Relay(const std::shared_ptr<CallerSession>& aSession);
-  bool HasCallerLeft() const;
 
   EntryContext mContext;
   ConnectionRegistry::Entry& mConnection;
--- a/modules/skylarkchute_entry/sessions/CallerSession.cpp
+++ b/modules/skylarkchute_entry/sessions/CallerSession.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr int kBadGateway = 502;
+constexpr std::size_t kMaxMailboxBytes = 8UL * 1024 * 1024;
 
 } // namespace
 
@@ -40,8 +41,13 @@
   }
   if (auto* event = std::get_if<EmitEvent>(&step)) {
     mBegun = true;
+    mMailboxBytes += event->mData.size();
     Push(SendEvent{ mHead, event->mNumber, std::move(event->mData) });
   }
+  if (mMailboxBytes > kMaxMailboxBytes) {
+    LeaveLocked();
+    return false;
+  }
   return true;
 }
 
@@ -121,14 +127,23 @@
   }
   auto message = std::move(mMailbox.front());
   mMailbox.pop_front();
+  if (const auto* event = std::get_if<SendEvent>(&message)) {
+    mMailboxBytes -= event->mData.size();
+  }
   return message;
 }
 
 void CallerSession::MarkCallerLeft()
 {
   const std::lock_guard lock(mMutex);
+  LeaveLocked();
+}
+
+void CallerSession::LeaveLocked()
+{
   mCallerLeft = true;
   mMailbox.clear();
+  mMailboxBytes = 0;
 }
 
 void CallerSession::Push(SessionMessage aMessage)
--- a/modules/skylarkchute_entry/sessions/CallerSession.h
+++ b/modules/skylarkchute_entry/sessions/CallerSession.h
@@ -33,6 +33,7 @@
   void BeginAnswer(AnswerHead aHead);
 
   /** Passes on a chunk of an attempt. @see AnswerStream
+      A caller that lets too many bytes wait is treated as gone.
       @returns whether the attempt is still wanted; false once the session has ended, the caller
       has left or the chunk contradicted the answer */
   bool Chunk(const AttemptId& aAttempt, const StreamChunk& aChunk);
@@ -66,11 +67,13 @@
 private:
   void Push(SessionMessage aMessage);
   void EndWithContradiction();
+  void LeaveLocked();
 
   const CallerRequest mRequest;
   mutable std::mutex mMutex;
   std::condition_variable mChanged;
   std::deque<SessionMessage> mMailbox;
+  std::size_t mMailboxBytes = 0; /**< Of events that wait for the connection. */
   AnswerHead mHead;
   AnswerStream mStream;
   bool mBegun = false;
