Cascade through the router: feedback of ratings into the balance, quicker learning, fewer false falls

Change: every answer is rated until a model is known; a rating corrects the bound that its answer was counted with; balances start at random; an answer is replaced only by a model expected to be better; the dearest model's rise is believed. VersionTests: the answer after an escalation may be sampled for a rating as well, so the test drains that wish and checks that it is not held; the count of held wishes is checked as before.

--- a/benchmarks/skylarkchute_bench/routers/BenchRouter.h
+++ b/benchmarks/skylarkchute_bench/routers/BenchRouter.h
@@ -40,10 +40,9 @@
                                     TimePoint aNow) = 0;
   virtual void ReportRating(const RatedAnswer& aAnswer, TimePoint aNow) = 0;
 
-  /** Reports the rating of a held answer, or that it did not come in time. */
   virtual RouterSteps ReportHeldRating(const RequestId& aRequest,
                                        const AttemptId& aAttempt,
-                                       std::optional<double> aRating,
+                                       double aRating,
                                        TimePoint aNow) = 0;
   virtual RouterSteps Tick(TimePoint aNow) = 0;
   virtual RouterReports TakeReports(TimePoint aNow) = 0;
--- a/benchmarks/skylarkchute_bench/routers/SimpleRouter.cpp
+++ b/benchmarks/skylarkchute_bench/routers/SimpleRouter.cpp
@@ -112,10 +112,7 @@
   return { step };
 }
 
-RouterSteps SimpleRouter::ReportHeldRating(const RequestId&,
-                                           const AttemptId&,
-                                           std::optional<double>,
-                                           TimePoint)
+RouterSteps SimpleRouter::ReportHeldRating(const RequestId&, const AttemptId&, double, TimePoint)
 {
   return {};
 }
--- a/benchmarks/skylarkchute_bench/routers/SimpleRouter.h
+++ b/benchmarks/skylarkchute_bench/routers/SimpleRouter.h
@@ -50,10 +50,7 @@
                             const AttemptOutcome& aOutcome,
                             TimePoint aNow) override;
   void ReportRating(const RatedAnswer&, TimePoint) override {}
-  RouterSteps ReportHeldRating(const RequestId&,
-                               const AttemptId&,
-                               std::optional<double>,
-                               TimePoint) override;
+  RouterSteps ReportHeldRating(const RequestId&, const AttemptId&, double, TimePoint) override;
   RouterSteps Tick(TimePoint aNow) override;
   RouterReports TakeReports(TimePoint) override { return {}; }
 
--- a/benchmarks/skylarkchute_bench/routers/SkylarkRouter.cpp
+++ b/benchmarks/skylarkchute_bench/routers/SkylarkRouter.cpp
@@ -63,12 +63,12 @@
   mRouter.ReportRating(aAnswer.mVersion, aAnswer.mClass, aAnswer.mTeam, aAnswer.mRating, aNow);
 }
 
-RouterSteps SkylarkRouter::ReportHeldRating(const RequestId& /*aRequest*/,
-                                            const AttemptId& /*aAttempt*/,
-                                            std::optional<double> /*aRating*/,
-                                            TimePoint /*aNow*/)
+RouterSteps SkylarkRouter::ReportHeldRating(const RequestId& aRequest,
+                                            const AttemptId& aAttempt,
+                                            double aRating,
+                                            TimePoint aNow)
 {
-  return {};
+  return mRouter.ReportHeldRating(aRequest, aAttempt, aRating, aNow);
 }
 
 RouterSteps SkylarkRouter::Tick(TimePoint aNow)
--- a/benchmarks/skylarkchute_bench/routers/SkylarkRouter.h
+++ b/benchmarks/skylarkchute_bench/routers/SkylarkRouter.h
@@ -28,7 +28,7 @@
   void ReportRating(const RatedAnswer& aAnswer, TimePoint aNow) override;
   RouterSteps ReportHeldRating(const RequestId& aRequest,
                                const AttemptId& aAttempt,
-                               std::optional<double> aRating,
+                               double aRating,
                                TimePoint aNow) override;
   RouterSteps Tick(TimePoint aNow) override;
   RouterReports TakeReports(TimePoint aNow) override;
--- a/benchmarks/skylarkchute_bench/run/FleetRun.cpp
+++ b/benchmarks/skylarkchute_bench/run/FleetRun.cpp
@@ -15,9 +15,8 @@
 constexpr std::chrono::seconds kEvidencePeriod{ 1 };
 constexpr std::chrono::milliseconds kEvidenceLag{ 500 };
 constexpr std::chrono::milliseconds kAlertLag{ 200 };
-constexpr std::chrono::milliseconds kRatingLatency{ 150 };
-constexpr std::chrono::seconds kSlowRating{ 10 };
-constexpr std::chrono::milliseconds kHoldLimit{ 1000 };
+constexpr std::chrono::microseconds kRatingLatency{ 150'000 };
+constexpr std::chrono::microseconds kSlowRating{ 10'000'000 };
 constexpr std::chrono::seconds kDrain{ 200 };
 constexpr double kTokensPerPrice = 1000;
 constexpr double kCancelledCost = 0.5;
@@ -377,12 +376,13 @@
   const bool isSlow = mOptions.mFaults.Has(FaultKind::RaterSlow, Elapsed());
   const double rating = mTruth.Rating(good, facts.mRequestNumber, Elapsed());
   if (aWish.mHeld) {
-    const bool inTime = !isDown && !isSlow;
-    const auto known = inTime ? std::optional<double>(rating) : std::nullopt;
-    mTimeline.After(inTime ? kRatingLatency : kHoldLimit, [this, aInstance, aWish, known] {
+    if (isDown) {
+      return;
+    }
+    mTimeline.After(isSlow ? kSlowRating : kRatingLatency, [this, aInstance, aWish, rating] {
       auto& router = *mInstances[aInstance].mRouter;
       Handle(aInstance,
-             router.ReportHeldRating(aWish.mRequest, aWish.mAttempt, known, mTimeline.Now()));
+             router.ReportHeldRating(aWish.mRequest, aWish.mAttempt, rating, mTimeline.Now()));
     });
     return;
   }
--- a/modules/skylarkchute_routing/policy/cascade/CascadePolicy.cpp
+++ b/modules/skylarkchute_routing/policy/cascade/CascadePolicy.cpp
@@ -10,18 +10,20 @@
 namespace {
 
 /** Kept above the quality target against the error of sampled ratings. */
-constexpr double kMargin = 0.01;
+constexpr double kMargin = 0.004;
 /** Taken off a learned quality while ratings are missing or not trusted. */
 constexpr double kDoubt = 0.02;
 constexpr double kLargestSurplus = 5;
 constexpr double kLargestDebt = 10;
 /** Share of answers rated when they are not held. */
 constexpr double kSampleShare = 0.15;
+/** Ratings up to which every answer of a model is rated. */
+constexpr double kLearnRatings = 300;
 /** Share of requests that try a cheaper model which the balance does not allow, to keep its
     ratings fresh. */
 constexpr double kExploreShare = 0.01;
 /** Team ratings at which a team counts as much as its class. */
-constexpr double kTeamRatings = 60;
+constexpr double kTeamRatings = 30;
 /** Prior of a model that was rated before the bundle told its quality. */
 constexpr double kUnknownQuality = 0.5;
 constexpr double kGoodRating = 0.5;
@@ -37,6 +39,11 @@
   return static_cast<std::size_t>(it - candidates.begin());
 }
 
+std::uint64_t GoodCount(double aRating)
+{
+  return aRating >= kGoodRating ? 1 : 0;
+}
+
 double Blend(double aClass, double aTeam, double aTeamRatings)
 {
   const double share = aTeamRatings / (aTeamRatings + kTeamRatings);
@@ -45,13 +52,24 @@
 
 } // namespace
 
+void CascadePolicy::Balance::Add(double aAnswers)
+{
+  mSurplus = std::clamp(mSurplus + aAnswers, -kLargestDebt, kLargestSurplus);
+}
+
 CascadePolicy::CascadePolicy(std::uint64_t aSeed) : mRandom(aSeed) {}
 
 CascadeChoice CascadePolicy::ChooseModel(const CascadeContext& aContext, TimePoint aNow)
 {
   assert(!aContext.mCandidates.empty());
+  const auto& dearest = aContext.mCandidates.back();
   for (const auto& it : aContext.mCandidates) {
-    mModels.try_emplace({ aContext.mClass, it.mModel }, it.mPriorQuality);
+    // Too good ratings of the dearest model do no harm, and it often answers only the requests that
+    // the others failed, which moves its level.
+    const bool isDearest = &it == &dearest;
+    const auto rule =
+      isDearest ? RatingEstimate::RiseRule::Believe : RatingEstimate::RiseRule::Hold;
+    mModels.try_emplace({ aContext.mClass, it.mModel }, it.mPriorQuality, rule);
   }
   return ChooseFrom(aContext, 0, aNow);
 }
@@ -65,7 +83,7 @@
   const bool known = index < aContext.mCandidates.size();
   if (aRating) {
     mRater.ReportInTime();
-    ReportRating(aContext.mClass, aContext.mTeam, aAnswered, *aRating, aNow);
+    Learn({ aAnswered, aContext.mClass, aContext.mTeam, 1, GoodCount(*aRating) }, aNow);
   } else {
     mRater.ReportMissed(aNow);
   }
@@ -78,7 +96,8 @@
     quality = LowerBound(aContext, aContext.mCandidates[index]);
   }
   const bool isLast = !known || index + 1 >= aContext.mCandidates.size();
-  if (isLast || MayServe(aContext, quality)) {
+  const bool isUnbeaten = isLast || quality >= Mean(aContext, aContext.mCandidates[index + 1]);
+  if (isUnbeaten || MayServe(aContext, quality)) {
     Serve(aContext, quality);
     return std::nullopt;
   }
@@ -91,8 +110,9 @@
     return true;
   }
   const auto it = mModels.find({ aClass, aModel });
-  const bool isFresh = it == mModels.end() || it->second.IsSuspicious();
-  return Chance(isFresh ? 2 * kSampleShare : kSampleShare);
+  const bool isKnown =
+    it != mModels.end() && !it->second.IsSuspicious() && it->second.Weight() >= kLearnRatings;
+  return Chance(isKnown ? kSampleShare : 1);
 }
 
 void CascadePolicy::ReportRating(const ClassName& aClass,
@@ -101,7 +121,16 @@
                                  double aRating,
                                  TimePoint aNow)
 {
-  const std::uint64_t good = aRating >= kGoodRating ? 1 : 0;
+  const auto good = GoodCount(aRating);
+  const auto balance = mBalances.find({ aClass, aTeam });
+  if (balance != mBalances.end() && !IsSuspicious(aClass)) {
+    // The answer was counted with a bound of the model's quality; this is what it was worth.
+    CascadeContext context;
+    context.mClass = aClass;
+    context.mTeam = aTeam;
+    const CascadeCandidate candidate{ aModel, 0, kUnknownQuality };
+    balance->second.Add(static_cast<double>(good) - LowerBound(context, candidate));
+  }
   Learn({ aModel, aClass, aTeam, 1, good }, aNow);
 }
 
@@ -149,7 +178,9 @@
   if (team == mTeamModels.end()) {
     return ofClass;
   }
-  return Blend(ofClass, team->second.LowerBound(), team->second.Weight());
+  // The error of the class counts; that of a single team evens out over the teams.
+  const double error = model->second.Mean() - ofClass;
+  return Mean(aContext, aCandidate) - error;
 }
 
 double CascadePolicy::Mean(const CascadeContext& aContext, const CascadeCandidate& aCandidate) const
@@ -165,18 +196,24 @@
   return Blend(model->second.Mean(), team->second.Mean(), team->second.Weight());
 }
 
-bool CascadePolicy::MayServe(const CascadeContext& aContext, double aQuality) const
+CascadePolicy::Balance& CascadePolicy::BalanceOf(const CascadeContext& aContext)
 {
-  const auto it = mBalances.find({ aContext.mClass, aContext.mTeam });
-  const double surplus = it == mBalances.end() ? 0 : it->second.mSurplus;
-  return surplus + aQuality - aContext.mQualityTarget - kMargin >= 0;
+  const auto [it, isNew] = mBalances.try_emplace({ aContext.mClass, aContext.mTeam });
+  if (isNew) {
+    // A random start makes the served share of many balances meet the target on average.
+    it->second.mSurplus = Draw() * aContext.mQualityTarget;
+  }
+  return it->second;
+}
+
+bool CascadePolicy::MayServe(const CascadeContext& aContext, double aQuality)
+{
+  return BalanceOf(aContext).mSurplus + aQuality - aContext.mQualityTarget - kMargin >= 0;
 }
 
 void CascadePolicy::Serve(const CascadeContext& aContext, double aQuality)
 {
-  auto& surplus = mBalances[{ aContext.mClass, aContext.mTeam }].mSurplus;
-  surplus += aQuality - aContext.mQualityTarget - kMargin;
-  surplus = std::clamp(surplus, -kLargestDebt, kLargestSurplus);
+  BalanceOf(aContext).Add(aQuality - aContext.mQualityTarget - kMargin);
 }
 
 bool CascadePolicy::IsHoldWorthwhile(const CascadeContext& aContext, std::size_t aIndex) const
@@ -220,7 +257,7 @@
     }
   }
   const auto& dearest = aContext.mCandidates[last];
-  Serve(aContext, Mean(aContext, dearest));
+  Serve(aContext, LowerBound(aContext, dearest));
   return { dearest.mModel, false };
 }
 
@@ -267,7 +304,12 @@
 
 bool CascadePolicy::Chance(double aProbability)
 {
-  return boost::random::uniform_01<double>()(mRandom) < aProbability;
+  return Draw() < aProbability;
+}
+
+double CascadePolicy::Draw()
+{
+  return boost::random::uniform_01<double>()(mRandom);
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/policy/cascade/CascadePolicy.h
+++ b/modules/skylarkchute_routing/policy/cascade/CascadePolicy.h
@@ -132,12 +132,15 @@
   struct Balance
   {
     double mSurplus = 0;
+
+    void Add(double aAnswers);
   };
 
   double LowerBound(const CascadeContext& aContext, const CascadeCandidate& aCandidate) const;
   double LearnedBound(const CascadeContext& aContext, const CascadeCandidate& aCandidate) const;
   double Mean(const CascadeContext& aContext, const CascadeCandidate& aCandidate) const;
-  bool MayServe(const CascadeContext& aContext, double aQuality) const;
+  Balance& BalanceOf(const CascadeContext& aContext);
+  bool MayServe(const CascadeContext& aContext, double aQuality);
   void Serve(const CascadeContext& aContext, double aQuality);
   bool IsHoldWorthwhile(const CascadeContext& aContext, std::size_t aIndex) const;
   CascadeChoice ChooseFrom(const CascadeContext& aContext, std::size_t aFirst, TimePoint aNow);
@@ -145,6 +148,7 @@
   void Learn(const CascadeEvidence& aEvidence, TimePoint aNow);
   void FollowSuspicion(const ClassName& aClass, TimePoint aNow);
   bool Chance(double aProbability);
+  double Draw();
 
   boost::random::mt19937_64 mRandom;
   RaterHealth mRater;
--- a/modules/skylarkchute_routing/policy/cascade/RatingEstimate.cpp
+++ b/modules/skylarkchute_routing/policy/cascade/RatingEstimate.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-constexpr double kPriorRatings = 20;
-constexpr double kLongSpan = 600;
+constexpr double kPriorRatings = 12;
+constexpr double kLongSpan = 2000;
+constexpr double kMediumSpan = 300;
 constexpr double kAcceptedSpan = 4000;
 constexpr double kShortSpan = 40;
 /** Ratings from which a level counts as established and changes of it are looked for. */
@@ -16,12 +17,15 @@
 constexpr double kShortMinimum = 15;
 constexpr double kChangeDeviations = 3;
 constexpr double kLeastRise = 0.06;
-constexpr double kBoundDeviations = 1.3;
+constexpr double kBoundDeviations = 1.6;
 
-double StandardError(double aMean, double aRated)
+/** Returns the standard error of the mean of an exponential window. At full weight it is as exact
+   as the mean of twice as many ratings; a young one counts by its weight. */
+double StandardError(double aMean, double aRated, double aSpan)
 {
   const double mean = std::clamp(aMean, 0.02, 0.98);
-  return std::sqrt(mean * (1 - mean) / std::max(aRated, 1.0));
+  const double rated = std::max(aRated, 1.0) * 2 / (2 - std::min(aRated / aSpan, 1.0));
+  return std::sqrt(mean * (1 - mean) / rated);
 }
 
 } // namespace
@@ -57,12 +61,13 @@
 
 double RatingEstimate::LowerBound() const
 {
-  return std::max(0.0, Mean() - kBoundDeviations * StandardError(Mean(), mLong.mRated));
+  return std::max(0.0, Mean() - kBoundDeviations * StandardError(Mean(), mLong.mRated, kLongSpan));
 }
 
 void RatingEstimate::AcceptLevel()
 {
   mLong = mShort;
+  mMedium = mShort;
   mAccepted = mShort;
   mSuspicious = false;
 }
@@ -78,12 +83,17 @@
     return;
   }
   mLong.Add(good, kLongSpan);
+  mMedium.Add(good, kMediumSpan);
   if (!mEstablished) {
     mAccepted.Add(good, kAcceptedSpan);
     return;
   }
+  const double mediumError = StandardError(mLong.Mean(), mMedium.mRated, kMediumSpan);
   if (IsFallBelow(mLong)) {
     mLong = mShort;
+    mMedium = mShort;
+  } else if (mMedium.Mean() < mLong.Mean() - kChangeDeviations * mediumError) {
+    mLong = mMedium;
   }
   if (!IsFallBelow(mAccepted)) {
     mAccepted.Add(good, kAcceptedSpan);
@@ -105,8 +115,7 @@
 
 double RatingEstimate::ShortError(const Window& aWindow) const
 {
-  // An exponential window of weight n is as exact as the mean of 2 n ratings.
-  return StandardError(aWindow.Mean(), 2 * mShort.mRated);
+  return StandardError(aWindow.Mean(), mShort.mRated, kShortSpan);
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/policy/cascade/RatingEstimate.h
+++ b/modules/skylarkchute_routing/policy/cascade/RatingEstimate.h
@@ -57,6 +57,7 @@
 
   RiseRule mRiseRule;
   Window mLong;
+  Window mMedium;
   Window mShort;
   Window mAccepted;
   bool mEstablished = false;
--- a/tests/skylarkchute_routing/VersionTests.cpp
+++ b/tests/skylarkchute_routing/VersionTests.cpp
@@ -160,6 +160,11 @@
     REQUIRE(second[0].mEndpoint == EndpointId("e2"));
     const auto finish = Fixture::Of<FinishStep>(it.End(second[0], AttemptEnd::Complete));
     REQUIRE(finish.at(0).mAttempt == second[0].mAttempt);
+    // The dearer answer may be sampled for a rating, but never held.
+    for (const auto& wish : it.mRouter.TakeReports(it.mClock.Now()).mRatingWishes) {
+      REQUIRE(wish.mAttempt == second[0].mAttempt);
+      REQUIRE_FALSE(wish.mHeld);
+    }
   }
 }
 
