--- a/modules/skylarkchute_routing/systems/EndpointChoice.h
+++ b/modules/skylarkchute_routing/systems/EndpointChoice.h
@@ -26,7 +26,6 @@
 private:
   using Candidates = std::vector<EndpointRow*>;
 
-  bool CanTake(const EndpointRow& aEndpoint, TimePoint aNow) const;
   Candidates WithRoom(const PoolRow& aPool, TimePoint aNow);
   EndpointRow* ChooseOf(const RequestRow& aRow, Candidates aCandidates, TimePoint aNow);
   EndpointRow* ByAffinity(const std::string& aKey, const Candidates& aCandidates, TimePoint aNow);
--- a/modules/skylarkchute_routing/systems/RequestFlow.h
+++ b/modules/skylarkchute_routing/systems/RequestFlow.h
@@ -26,7 +26,7 @@
   void Start(const RequestFacts& aFacts, TimePoint aNow, RouterSteps& aSteps);
 
   /** Ends a request whose dispatch step was not carried out. */
-  void Withdraw(const RequestId& aRequest, const AttemptId& aAttempt);
+  void Withdraw(const RequestId& aRequest, const AttemptId& aAttempt, TimePoint aNow);
 
   /** Gives the live attempt back and chooses again, on the pinned version. */
   void Repin(const RequestId& aRequest,
@@ -54,16 +54,21 @@
   /** @see Router::MayCarryOut */
   bool MayCarryOut(const RequestId& aRequest, const AttemptId& aAttempt) const;
 
+  /** Takes in a peer's alert of a suspect fingerprint. */
+  void OnAlert(const RoutingAlert& aAlert, TimePoint aNow) { mQuarantine.OnAlert(aAlert, aNow); }
+
   /** Checks the waiting requests against the versions, endpoints and deadlines. */
   void Tick(TimePoint aNow, RouterSteps& aSteps);
 
   /** Chooses again for waiting requests whose version can no longer be used, or refuses them. */
-  void SweepVersions(TimePoint aNow, RouterSteps& aSteps);
+  void SweepWaiting(TimePoint aNow, RouterSteps& aSteps);
 
 private:
   /** Chooses version and endpoint for a request without a live attempt, or queues or ends it. */
   void Place(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps);
   bool ChooseVersion(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps);
+  /** Returns whether the row may go on to the queue; else it was sent, delayed or refused. */
+  bool PassGate(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps);
   void DrainPool(const PoolKey& aPool, TimePoint aNow, RouterSteps& aSteps);
   void Send(RequestRow& aRow, EndpointRow& aEndpoint, TimePoint aNow, RouterSteps& aSteps);
   void OnAnswer(RequestRow& aRow,
@@ -80,9 +85,9 @@
                  const AttemptOutcome& aOutcome,
                  TimePoint aNow,
                  RouterSteps& aSteps);
-  void Finish(RequestRow& aRow, AttemptId aAttempt, RouterSteps& aSteps);
-  void CancelLive(RequestRow& aRow, RouterSteps& aSteps);
-  void Refuse(RequestRow& aRow, RefuseStep aStep, RouterSteps& aSteps);
+  void Finish(RequestRow& aRow, AttemptId aAttempt, TimePoint aNow, RouterSteps& aSteps);
+  void CancelLive(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps);
+  void Refuse(RequestRow& aRow, RefuseStep aStep, TimePoint aNow, RouterSteps& aSteps);
   void End(RequestRow& aRow);
   void CheckDeadlines(TimePoint aNow, RouterSteps& aSteps);
   void StartHedges(TimePoint aNow, RouterSteps& aSteps);
@@ -98,6 +103,7 @@
   EndpointChoice mEndpoints;
   QueueSystem mQueues;
   RetrySystem mRetries;
+  QuarantineSystem mQuarantine;
   AttemptSystem mAttempts;
   TimePoint mNextShed{};
 };
