--- a/app/platform/PlatformOption.cpp
+++ b/app/platform/PlatformOption.cpp
@@ -1,5 +1,6 @@
 #include "PlatformOption.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace skylarkchute {
@@ -11,6 +12,11 @@
 constexpr const char* kOption = "--platform";
 constexpr const char* kVariable = "SKYLARKCHUTE_PLATFORM";
 
+bool IsHelp(const std::vector<std::string>& aArguments)
+{
+  return std::find(aArguments.begin(), aArguments.end(), "--help") != aArguments.end();
+}
+
 } // namespace
 
 leaf::result<OperatorArguments> TakePlatformOption(const std::vector<std::string>& aArguments)
@@ -29,6 +35,9 @@
       taken.mRest.push_back(argument);
     }
   }
+  if (IsHelp(taken.mRest)) {
+    return taken;
+  }
   if (place.empty()) {
     return leaf::new_error(
       Faults{ { { "", kOption, std::string("is missing, and ") + kVariable + " is not set" } } });
--- a/app/platform/PlatformOption.h
+++ b/app/platform/PlatformOption.h
@@ -17,7 +17,8 @@
 };
 
 /** Takes `--platform ADDRESS:PORT` out of the arguments; without it the variable
-    SKYLARKCHUTE_PLATFORM counts. Errors are of type Faults. */
+    SKYLARKCHUTE_PLATFORM counts. With
+    `--help` no platform is needed. Errors are of type Faults. */
 boost::leaf::result<OperatorArguments> TakePlatformOption(
   const std::vector<std::string>& aArguments);
 
--- a/app/serve/AnswerBoard.cpp
+++ b/app/serve/AnswerBoard.cpp
@@ -44,8 +44,7 @@
   }
 }
 
-const AttemptResult* AnswerBoard::Result(const RequestId& aRequest,
-                                         const AttemptId& aAttempt) const
+const AttemptResult* AnswerBoard::Result(const RequestId& aRequest, const AttemptId& aAttempt) const
 {
   const auto it = mEntries.find(aRequest);
   if (it == mEntries.end()) {
--- a/app/serve/AttemptListener.h
+++ b/app/serve/AttemptListener.h
@@ -22,7 +22,9 @@
 
   /** @param aHead  headers of the answer if this attempt begins it */
   AttemptListener(std::shared_ptr<CallerSession> aSession, AnswerHead aHead, Reports aReports)
-    : mSession(std::move(aSession)), mHead(std::move(aHead)), mReports(std::move(aReports))
+    : mSession(std::move(aSession))
+    , mHead(std::move(aHead))
+    , mReports(std::move(aReports))
   {
   }
 
--- a/app/serve/PeriodicThread.h
+++ b/app/serve/PeriodicThread.h
@@ -14,7 +14,9 @@
 public:
   /** @param aPause  between the end of one call and the begin of the next */
   PeriodicThread(std::chrono::milliseconds aPause, std::function<void()> aWork)
-    : mPause(aPause), mWork(std::move(aWork)), mThread([this] { Run(); })
+    : mPause(aPause)
+    , mWork(std::move(aWork))
+    , mThread([this] { Run(); })
   {
   }
 
--- a/app/serve/ServeCommand.cpp
+++ b/app/serve/ServeCommand.cpp
@@ -50,7 +50,8 @@
   auto add = description.add_options();
   add("help", "show this text");
   add("settings", options::value(&file)->required(), "settings file, see docs/SETTINGS.md");
-  add("set", options::value(&overrides)->composing(), "SECTION.KEY=VALUE, over the file; repeatable");
+  add(
+    "set", options::value(&overrides)->composing(), "SECTION.KEY=VALUE, over the file; repeatable");
   options::variables_map values;
   options::store(options::command_line_parser(aArguments).options(description).run(), values);
   if (values.count("help") > 0) {
--- a/app/serve/ServeEvents.h
+++ b/app/serve/ServeEvents.h
@@ -6,17 +6,25 @@
 
 namespace skylarkchute {
 
-inline constexpr EventDescription kInstanceStarted{
-  1001, EventLevel::Info, "instance-started", "The instance listens for callers and peers."
-};
-inline constexpr EventDescription kInstanceLeaving{
-  1002, EventLevel::Info, "instance-leaving", "A graceful stop has begun; readiness fails."
-};
+inline constexpr EventDescription kInstanceStarted{ 1001,
+                                                    EventLevel::Info,
+                                                    "instance-started",
+                                                    "The instance listens for callers and peers." };
+inline constexpr EventDescription kInstanceLeaving{ 1002,
+                                                    EventLevel::Info,
+                                                    "instance-leaving",
+                                                    "A graceful stop has begun; readiness fails." };
 inline constexpr EventDescription kInstanceStopped{
-  1003, EventLevel::Info, "instance-stopped", "The instance has stopped; says whether all is drained."
+  1003,
+  EventLevel::Info,
+  "instance-stopped",
+  "The instance has stopped; says whether all is drained."
 };
 inline constexpr EventDescription kPeerRefused{
-  1004, EventLevel::Warning, "peer-refused", "A message without a valid signature was refused."
+  1004,
+  EventLevel::Warning,
+  "peer-refused",
+  "A message without a valid signature was refused."
 };
 
 /** Returns every event of the serve command. */
--- a/app/serve/ServeRuntime.cpp
+++ b/app/serve/ServeRuntime.cpp
@@ -101,7 +101,9 @@
 
 ProblemReply BusyProblem()
 {
-  return { 503, Verdict::NotRun, "instance-busy", "This instance is too busy.", milliseconds(1000) };
+  return {
+    503, Verdict::NotRun, "instance-busy", "This instance is too busy.", milliseconds(1000)
+  };
 }
 
 /** Asks for one rating on a thread of a pool, then deletes itself. */
@@ -143,9 +145,8 @@
     mObjectApi,
     mClock,
     [this](const ObjectReply& aReply) {
-      mLoop.Post([aReply](Node& aNode, NodeTime aTime) {
-        return aNode.OnObjectReply(aReply, aTime);
-      });
+      mLoop.Post(
+        [aReply](Node& aNode, NodeTime aTime) { return aNode.OnObjectReply(aReply, aTime); });
     },
     [this](const LogEvent& aEvent) { mLog.Write(aEvent); });
   mPeerClient = std::make_unique<PeerClient>(
@@ -221,9 +222,8 @@
 
 void ServeRuntime::CallerLeft(const RequestId& aRequest)
 {
-  mLoop.Post([aRequest](Node& aNode, NodeTime aTime) {
-    return aNode.OnCallerLeft(aRequest, aTime);
-  });
+  mLoop.Post(
+    [aRequest](Node& aNode, NodeTime aTime) { return aNode.OnCallerLeft(aRequest, aTime); });
 }
 
 ModelsReply ServeRuntime::ModelsFor(const std::string& aApiKey)
@@ -248,9 +248,8 @@
 TicketReply ServeRuntime::IssueTicket(const std::string& aApiKey)
 {
   using Issued = std::variant<std::string, RefuseStep>;
-  const auto issued = mLoop.Ask<Issued>([aApiKey](Node& aNode, NodeTime aTime) {
-    return aNode.IssueTicket(aApiKey, aTime);
-  });
+  const auto issued = mLoop.Ask<Issued>(
+    [aApiKey](Node& aNode, NodeTime aTime) { return aNode.IssueTicket(aApiKey, aTime); });
   if (!issued) {
     return BusyProblem();
   }
@@ -263,11 +262,9 @@
 
 std::string ServeRuntime::StatusJson()
 {
-  auto status = mLoop
-                  .Ask<Json::Value>([](Node& aNode, NodeTime aTime) {
-                    return aNode.StatusJson(aTime);
-                  })
-                  .value_or(Json::Value(Json::objectValue));
+  auto status =
+    mLoop.Ask<Json::Value>([](Node& aNode, NodeTime aTime) { return aNode.StatusJson(aTime); })
+      .value_or(Json::Value(Json::objectValue));
   status["store"] = mPlatform->IsOutage() ? "down" : "up";
   AddEndpoints(status);
   AddLatencies(status);
@@ -337,12 +334,11 @@
 {
   mLoop.Post([this, aRequest, aResult](Node& aNode, NodeTime aTime) {
     mBoard.NoteResult(aRequest, aResult);
-    return aNode.OnAttemptEnd(
-      aRequest,
-      aResult.mAttempt,
-      aResult.mOutcome,
-      { aResult.mOutcome.mHttpStatus, aResult.mContentType, aResult.mBody },
-      aTime);
+    return aNode.OnAttemptEnd(aRequest,
+                              aResult.mAttempt,
+                              aResult.mOutcome,
+                              { aResult.mOutcome.mHttpStatus, aResult.mContentType, aResult.mBody },
+                              aTime);
   });
 }
 
@@ -399,8 +395,7 @@
 {
   const auto token = mPeerAnswers.Open();
   mLoop.Post([token, aRequest](Node& aNode, NodeTime aTime) {
-    return aNode.OnPeerRequest(
-      token, aRequest.mFrom, aRequest.mMethod, aRequest.mParams, aTime);
+    return aNode.OnPeerRequest(token, aRequest.mFrom, aRequest.mMethod, aRequest.mParams, aTime);
   });
   return mPeerAnswers.Wait(token, kPeerAnswerTimeout);
 }
@@ -429,8 +424,7 @@
   std::optional<InstanceRecord> rater;
   for (const auto& it : aList.mInstances) {
     if (it.mKind == InstanceKind::Entry) {
-      peers.push_back(
-        { InstanceId(it.mId), it.mAddress, it.mPeerPort, it.mZone, it.mLeaving });
+      peers.push_back({ InstanceId(it.mId), it.mAddress, it.mPeerPort, it.mZone, it.mLeaving });
     } else if (it.mKind == InstanceKind::Rating) {
       rater = it;
     } else {
--- a/modules/skylarkchute_bundles/rolls/RollProgress.cpp
+++ b/modules/skylarkchute_bundles/rolls/RollProgress.cpp
@@ -40,7 +40,7 @@
                  const RollRecord& aRecord,
                  const RollObservation& aObservation)
 {
-  return aObservation.mVerdict.mHealth == VersionHealth::Healthy && aObservation.mMayAdvance &&
+  return aObservation.mVerdict.mHealth == VersionCondition::Healthy && aObservation.mMayAdvance &&
          aObservation.mEvidence.mRequests >= aPlan.mEvidence &&
          aObservation.mWallNow - aRecord.mStageSince >= aPlan.mHold;
 }
@@ -67,7 +67,7 @@
                                      const std::optional<RollRecord>& aRecord,
                                      const RollObservation& aObservation)
 {
-  const auto isBad = aObservation.mVerdict.mHealth == VersionHealth::Bad;
+  const auto isBad = aObservation.mVerdict.mHealth == VersionCondition::Bad;
   if (!aRecord) {
     auto first = FirstRecord(aPlan, aSince, aObservation);
     return isBad ? WithdrawnRecord(std::move(first), aObservation) : std::move(first);
--- a/modules/skylarkchute_bundles/rolls/TrackedRoll.cpp
+++ b/modules/skylarkchute_bundles/rolls/TrackedRoll.cpp
@@ -42,7 +42,7 @@
 RollShare TrackedRoll::Share() const
 {
   auto share = ShareOf(mPlan, mLatest);
-  if (mVerdict.mHealth == VersionHealth::Bad) {
+  if (mVerdict.mHealth == VersionCondition::Bad) {
     share.mWithdrawn = true;
     share.mPercent = 0;
   }
@@ -106,12 +106,12 @@
 
 void TrackedRoll::TakeVerdict(const VersionVerdict& aVerdict, TimePoint aNow)
 {
-  if (mVerdict.mHealth == VersionHealth::Bad) {
+  if (mVerdict.mHealth == VersionCondition::Bad) {
     return;
   }
   mVerdict = aVerdict;
   mVerdictAt = aNow;
-  if (aVerdict.mHealth == VersionHealth::Bad) {
+  if (aVerdict.mHealth == VersionCondition::Bad) {
     mDueSince.reset();
   }
 }
@@ -133,8 +133,8 @@
   observation.mEvidence = Evidence();
   observation.mVerdict = mVerdict;
   const auto fresh = aNow - mVerdictAt <= mOptions.mVerdictAge;
-  if (mVerdict.mHealth == VersionHealth::Healthy && !fresh) {
-    observation.mVerdict.mHealth = VersionHealth::Undecided;
+  if (mVerdict.mHealth == VersionCondition::Healthy && !fresh) {
+    observation.mVerdict.mHealth = VersionCondition::Undecided;
   }
   observation.mMayAdvance = mMayAdvance;
   observation.mSelf = mOptions.mSelf;
--- a/modules/skylarkchute_bundles/skylarkchute_bundles.h
+++ b/modules/skylarkchute_bundles/skylarkchute_bundles.h
@@ -21,7 +21,6 @@
 #include "model/Bundle.h"
 #include "model/BundleParser.h"
 #include "model/BundleText.h"
-#include "model/ValueText.h"
 #include "parts/BundleHead.h"
 #include "parts/BundleParts.h"
 #include "rolls/EvidenceTotals.h"
--- a/modules/skylarkchute_core/skylarkchute_core.h
+++ b/modules/skylarkchute_core/skylarkchute_core.h
@@ -12,7 +12,6 @@
 #include "identifiers/Identifier.h"
 #include "identifiers/Identifiers.h"
 #include "identifiers/Incarnation.h"
-#include "json/JsonText.h"
 #include "metrics/LatencyHistogram.h"
 #include "metrics/MetricsRegistry.h"
 #include "settings/IniDocument.h"
@@ -24,3 +23,4 @@
 #include "time/Clock.h"
 #include "time/ManualClock.h"
 #include "time/SystemClock.h"
+#include "json/JsonText.h"
--- a/modules/skylarkchute_node/peers/PeerMethods.h
+++ b/modules/skylarkchute_node/peers/PeerMethods.h
@@ -1,16 +1,14 @@
 #pragma once
 
+#include <skylarkchute_peers/messages/Methods.h>
+
 #include <string>
 #include <vector>
 
 namespace skylarkchute {
 
-/** Method names of the JSON-RPC requests between instances. */
-inline constexpr const char* kRegisterWriteMethod = "register.write";
-inline constexpr const char* kClaimOutcomeMethod = "claim.outcome";
+/** Further method names, of the messages of bundles and tickets. */
 inline constexpr const char* kBundlePartsMethod = "bundle.parts";
-inline constexpr const char* kUsageBackupMethod = "usage.backup";
-inline constexpr const char* kUsageDropMethod = "usage.drop";
 inline constexpr const char* kTicketAcceptMethod = "ticket.accept";
 inline constexpr const char* kTicketFinishMethod = "ticket.finish";
 
--- a/modules/skylarkchute_peers/skylarkchute_peers.h
+++ b/modules/skylarkchute_peers/skylarkchute_peers.h
@@ -3,9 +3,6 @@
 /** What instances of the fleet say to each other: membership, evidence, alerts, quota shares. */
 
 #include "PeerTypes.h"
-#include "rpc/PeerClient.h"
-#include "rpc/PeerServer.h"
-#include "rpc/PeerSignature.h"
 #include "alerts/AlertSpreader.h"
 #include "events/PeersEvents.h"
 #include "evidence/EvidenceTree.h"
@@ -13,3 +10,6 @@
 #include "messages/Methods.h"
 #include "messages/PeerGoodbye.h"
 #include "quota/QuotaShares.h"
+#include "rpc/PeerClient.h"
+#include "rpc/PeerServer.h"
+#include "rpc/PeerSignature.h"
--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -1,4 +1,5 @@
 #include "engine/EngineStandIn.h"
+#include "platform/PlatformStandin.h"
 #include "rating/RatingStandIn.h"
 #include "service/PlainServiceStandIn.h"
 #include "weights/WeightStoreStandIn.h"
@@ -131,6 +132,17 @@
   return WaitForSignal(standIn.Port());
 }
 
+int RunPlatform(const Arguments& aArguments)
+{
+  std::uint16_t port = 0;
+  options::variables_map values;
+  if (!Parse(aArguments, Common("platform", port), values)) {
+    return 0;
+  }
+  const PlatformStandin standIn(port);
+  return WaitForSignal(standIn.Port());
+}
+
 struct NamedCommand
 {
   std::string mName;
@@ -141,10 +153,8 @@
 const std::vector<NamedCommand>& Commands()
 {
   static const std::vector<NamedCommand> commands{
-    { "engine", RunEngine },
-    { "service", RunService },
-    { "rating", RunRating },
-    { "weights", RunWeights },
+    { "platform", RunPlatform }, { "engine", RunEngine },   { "service", RunService },
+    { "rating", RunRating },     { "weights", RunWeights },
   };
   return commands;
 }
--- a/tests/skylarkchute_bundles/RollDriverTests.cpp
+++ b/tests/skylarkchute_bundles/RollDriverTests.cpp
@@ -112,7 +112,7 @@
   }
   SECTION("without a verdict")
   {
-    fleet.mVerdict.mHealth = VersionHealth::Undecided;
+    fleet.mVerdict.mHealth = VersionCondition::Undecided;
   }
   SECTION("before the endpoints are ready")
   {
@@ -140,7 +140,7 @@
   };
   take(driver.ApplyBundle(bundle, HeadOf(SmallBundleText(), 1), clock.Now(), clock.WallNow()));
   take(driver.ApplyVerdict(
-    RollFleet::kRoll, { VersionHealth::Healthy, "" }, clock.Now(), clock.WallNow()));
+    RollFleet::kRoll, { VersionCondition::Healthy, "" }, clock.Now(), clock.WallNow()));
   for (int n = 0; n < 400; ++n) {
     for (const auto& it : std::exchange(calls, {})) {
       take(driver.OnReply(store.Call(it), clock.Now(), clock.WallNow()));
@@ -160,11 +160,11 @@
 {
   RollFleet fleet(9, SmallBundleText());
   fleet.Run(3s);
-  fleet.mVerdict = { VersionHealth::Undecided, "" };
+  fleet.mVerdict = { VersionCondition::Undecided, "" };
   const auto someone = (fleet.FirstDriver() + 4) % 9;
-  fleet.GiveVerdict(someone, { VersionHealth::Bad, "errors" });
+  fleet.GiveVerdict(someone, { VersionCondition::Bad, "errors" });
   CHECK(fleet.mNodes[someone].mShares[0].mWithdrawn);
-  fleet.mVerdict = { VersionHealth::Bad, "errors" };
+  fleet.mVerdict = { VersionCondition::Bad, "errors" };
   fleet.Run(5s);
   CHECK(AllWithdrawn(fleet));
   CHECK(fleet.Stored()->mReason == "errors");
@@ -173,7 +173,7 @@
   REQUIRE(audit);
   CHECK(audit->mAction == AuditAction::Withdrawn);
   // Neither a healthy verdict nor a restart brings it back.
-  fleet.mVerdict = { VersionHealth::Healthy, "" };
+  fleet.mVerdict = { VersionCondition::Healthy, "" };
   fleet.Start(2);
   fleet.Run(60s);
   CHECK(AllWithdrawn(fleet));
@@ -183,9 +183,9 @@
 {
   RollFleet fleet(9, SmallBundleText());
   fleet.Run(3s);
-  fleet.mVerdict = { VersionHealth::Undecided, "" };
+  fleet.mVerdict = { VersionCondition::Undecided, "" };
   const auto someone = (fleet.FirstDriver() + 4) % 9;
-  fleet.GiveVerdict(someone, { VersionHealth::Bad, "errors" });
+  fleet.GiveVerdict(someone, { VersionCondition::Bad, "errors" });
   fleet.Run(30s);
   CHECK(AllWithdrawn(fleet));
 }
@@ -195,7 +195,7 @@
   RollFleet fleet(3, SmallBundleText());
   fleet.Run(3 * kHold + 5s);
   REQUIRE(fleet.Stored()->mPhase == RollPhase::Finished);
-  fleet.mVerdict = { VersionHealth::Bad, "latency" };
+  fleet.mVerdict = { VersionCondition::Bad, "latency" };
   fleet.Run(5s);
   CHECK(fleet.Stored()->mPhase == RollPhase::Withdrawn);
   CHECK(AllWithdrawn(fleet));
@@ -248,7 +248,7 @@
         fleet.Kill(aNode);
       }
     };
-    fleet.mVerdict = { VersionHealth::Bad, "errors" };
+    fleet.mVerdict = { VersionCondition::Bad, "errors" };
     fleet.Run(10s);
     REQUIRE(dead);
     CHECK(fleet.Stored()->mPhase == RollPhase::Withdrawn);
@@ -286,10 +286,10 @@
   run(20s);
   CHECK(fleet.Stored()->mStage == 1);
   watchman.mMayWithdraw = true;
-  fleet.mVerdict = { VersionHealth::Bad, "errors" };
+  fleet.mVerdict = { VersionCondition::Bad, "errors" };
   run(5s);
   CHECK(fleet.Stored()->mPhase == RollPhase::Withdrawn);
-  fleet.mVerdict = { VersionHealth::Healthy, "" };
+  fleet.mVerdict = { VersionCondition::Healthy, "" };
   driver.mPaused = false;
   run(30s);
   CHECK(fleet.Stored()->mPhase == RollPhase::Withdrawn);
@@ -304,7 +304,7 @@
   fleet.mStore.SetOutage(true);
   fleet.Run(60s);
   CHECK(fleet.mNodes[0].mShares[0].mPercent == 5);
-  fleet.mVerdict = { VersionHealth::Bad, "errors" };
+  fleet.mVerdict = { VersionCondition::Bad, "errors" };
   fleet.Run(2s);
   CHECK(AllWithdrawn(fleet));
   CHECK(fleet.Stored()->mPhase == RollPhase::Running);
@@ -316,10 +316,10 @@
 TEST_CASE("an instance that starts in an outage learns of a withdrawal from a peer")
 {
   RollFleet fleet(2, SmallBundleText());
-  fleet.mVerdict = { VersionHealth::Bad, "errors" };
+  fleet.mVerdict = { VersionCondition::Bad, "errors" };
   fleet.Run(10s);
   REQUIRE(AllWithdrawn(fleet));
-  fleet.mVerdict = { VersionHealth::Undecided, "" };
+  fleet.mVerdict = { VersionCondition::Undecided, "" };
   fleet.mStore.SetOutage(true);
   fleet.Start(1);
   auto& driver = *fleet.mNodes[1].mDriver;
@@ -335,9 +335,9 @@
   RollFleet fleet(2, SmallBundleText());
   fleet.Run(3s);
   const auto old = fleet.mStore.Body(RollKey(1, RollFleet::kRoll));
-  fleet.mVerdict = { VersionHealth::Bad, "errors" };
+  fleet.mVerdict = { VersionCondition::Bad, "errors" };
   fleet.Run(5s);
-  fleet.mVerdict = { VersionHealth::Undecided, "" };
+  fleet.mVerdict = { VersionCondition::Undecided, "" };
   fleet.mStore.Overwrite(RollKey(1, RollFleet::kRoll), old);
   fleet.Run(5s);
   CHECK(fleet.Stored()->mPhase == RollPhase::Withdrawn);
@@ -405,7 +405,7 @@
           break;
       }
       if (n == badAt) {
-        fleet.mVerdict = { VersionHealth::Bad, "errors" };
+        fleet.mVerdict = { VersionCondition::Bad, "errors" };
         watchman.mMayWithdraw = true;
       }
       fleet.Step();
--- a/tests/skylarkchute_bundles/RollFleet.h
+++ b/tests/skylarkchute_bundles/RollFleet.h
@@ -124,7 +124,7 @@
   FakeObjectStore mStore;
   std::vector<InstanceId> mMembers;
   std::vector<Node> mNodes;
-  VersionVerdict mVerdict{ VersionHealth::Healthy, "" };
+  VersionVerdict mVerdict{ VersionCondition::Healthy, "" };
   std::uint64_t mRequestsPerSecond = kRequestsPerSecond;
   Bundle mBundle;
   BundleHead mHead;
