Crashing requests cost at most two endpoints

Cause: a request that crashes its engine was retried until the retry limit, and by every instance that its caller resent it through.

Change: a fingerprint seen at a crash is suspect, peers are told with the crashed endpoint, and it is tried again after 250 ms, one copy at a time, overcommitted if need be, on the endpoint that every instance would pick. A second crash quarantines it, a complete answer clears it. Copies of a fingerprint that never completed share an endpoint; live copies are cancelled on an alert.

--- a/modules/skylarkchute_routing/systems/AttemptSystem.cpp
+++ b/modules/skylarkchute_routing/systems/AttemptSystem.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t kMostTried = 4;
 constexpr std::chrono::milliseconds kFullPause{ 100 };
+/** Broken answers of an endpoint within this time are signs of the same crash. */
+constexpr std::chrono::milliseconds kOneCrash{ 1000 };
 
 std::string LabelOf(const RouterTables& aTables, const std::optional<VersionId>& aVersion)
 {
@@ -42,6 +44,7 @@
   attempt.mVersion = aRow.mVersion;
   attempt.mStarted = aNow;
   attempt.mHedge = aKind == AttemptKind::Hedge;
+  attempt.mTrial = mQuarantine.IsSuspect(aRow.mFacts.mFingerprint);
   aRow.mLive.push_back(attempt);
   mQuarantine.OnOpen(aRow, attempt);
   aRow.mPhase = RequestPhase::Running;
@@ -142,8 +145,17 @@
 {
   const double jitter = mTables.Draw();
   switch (aOutcome.mEnd) {
-    case AttemptEnd::ConnectFailed:
     case AttemptEnd::Broken:
+      if (aNow >= aEndpoint.mBrokenAt + kOneCrash) {
+        ++mTables.mCounters.mEndpointCrashes;
+        mTables.mReports.mEvents.push_back(
+          { &kEndpointCrashed, { { "endpoint", aEndpoint.mRecord.mId.Value() } } });
+      }
+      aEndpoint.mBrokenAt = aNow;
+      aEndpoint.mUnreachableAt = aNow;
+      return aEndpoint.mBreaker.OnUnreachable(aNow, jitter);
+    case AttemptEnd::ConnectFailed:
+      aEndpoint.mUnreachableAt = aNow;
       return aEndpoint.mBreaker.OnUnreachable(aNow, jitter);
     case AttemptEnd::Failed:
     case AttemptEnd::TimedOut:
--- a/modules/skylarkchute_routing/systems/QuarantineSystem.cpp
+++ b/modules/skylarkchute_routing/systems/QuarantineSystem.cpp
@@ -2,6 +2,8 @@
 
 #include "../events/RoutingEvents.h"
 
+#include <algorithm>
+
 namespace skylarkchute {
 
 namespace {
@@ -11,10 +13,17 @@
 /** Time for alerts of peers to arrive before a suspect is tried. */
 constexpr std::chrono::milliseconds kAlertTime{ 250 };
 constexpr std::chrono::milliseconds kLookAgain{ 50 };
+/** A trial may exceed the slots, since under load a slot is never seen free. */
+constexpr double kTrialOvercommit = 1.5;
 constexpr std::chrono::hours kQuarantine{ 24 };
 /** When several fingerprints reach the count at one crash, at most one of them is to blame. */
 constexpr std::chrono::minutes kSharedQuarantine{ 10 };
 
+bool Hosts(const PoolRow& aPool, const EndpointId& aEndpoint)
+{
+  return std::find(aPool.mHosting.begin(), aPool.mHosting.end(), aEndpoint) != aPool.mHosting.end();
+}
+
 } // namespace
 
 GateDecision QuarantineSystem::Check(RequestRow& aRow, const PoolRow& aPool, TimePoint aNow)
@@ -29,8 +38,9 @@
   const auto live = mTables.mSuspects.mLive.find(fingerprint);
   const auto* suspect = mTables.mSuspects.Find(fingerprint);
   if (suspect == nullptr) {
-    const bool shares =
-      live != mTables.mSuspects.mLive.end() && !mTables.mSuspects.IsProven(fingerprint);
+    const bool shares = live != mTables.mSuspects.mLive.end() &&
+                        !mTables.mSuspects.IsProven(fingerprint) &&
+                        Hosts(aPool, live->second.mEndpoint);
     return shares ? GateDecision(GateOnly{ live->second.mEndpoint }) : GateDecision(GateFree{});
   }
   if (aRow.mSuspectSince == TimePoint{}) {
@@ -44,7 +54,7 @@
   }
   const auto* endpoint = TrialEndpoint(aRow, *suspect, aPool, aNow);
   return endpoint == nullptr ? GateDecision(GateWait{ aNow + kLookAgain })
-                             : GateDecision(GateOnly{ *endpoint });
+                             : GateDecision(GateTrial{ *endpoint });
 }
 
 bool QuarantineSystem::IsQuarantined(const Fingerprint& aFingerprint, TimePoint aNow)
@@ -58,6 +68,22 @@
   return mTables.mSuspects.Find(aFingerprint) != nullptr;
 }
 
+bool QuarantineSystem::ShouldRecall(const RequestRow& aRow)
+{
+  const auto& fingerprint = aRow.mFacts.mFingerprint;
+  if (aRow.mNonIdempotent || aRow.mLive.empty() || mTables.mSuspects.IsProven(fingerprint)) {
+    return false;
+  }
+  const auto* suspect = mTables.mSuspects.Find(fingerprint);
+  if (suspect == nullptr) {
+    return false;
+  }
+  return std::all_of(aRow.mLive.begin(), aRow.mLive.end(), [&](const AttemptRow& aAttempt) {
+    return !aAttempt.mFirstTokenSeen && !aAttempt.mTrial &&
+           !suspect->HasCrashed(aAttempt.mEndpoint);
+  });
+}
+
 void QuarantineSystem::OnOpen(const RequestRow& aRow, const AttemptRow& aAttempt)
 {
   if (aRow.mFacts.mFingerprint.IsEmpty()) {
@@ -84,6 +110,10 @@
   if (aOutcome == nullptr) {
     return;
   }
+  if (aOutcome->mEnd == AttemptEnd::ConnectFailed) {
+    aRow.mSuspectSince = TimePoint{};
+    return;
+  }
   if (aOutcome->mEnd == AttemptEnd::Broken) {
     OnCrash(aRow, aAttempt.mEndpoint, aNow);
     return;
@@ -101,6 +131,9 @@
   if (!aAlert.mSuspect || aAlert.mCrashCount == 0) {
     return;
   }
+  const bool isLive =
+    mTables.mSuspects.mLive.find(*aAlert.mSuspect) != mTables.mSuspects.mLive.end();
+  mTables.mWaitingChanged = mTables.mWaitingChanged || isLive;
   auto& suspect = mTables.mSuspects.Get(*aAlert.mSuspect, aNow);
   suspect.mReported = std::max(suspect.mReported, aAlert.mCrashCount);
   CountCrash(suspect, aAlert.mCrashedEndpoint, aNow);
@@ -163,30 +196,36 @@
                                                   const PoolRow& aPool,
                                                   TimePoint aNow)
 {
-  const auto holdsSuspect = [&](const EndpointId& aId) {
-    const auto& live = mTables.mSuspects.mLive;
-    return std::any_of(live.begin(), live.end(), [&](const auto& aItem) {
-      return aItem.second.mEndpoint == aId && mTables.mSuspects.Find(aItem.first) != nullptr;
-    });
-  };
   const auto seed = StableHash(aRow.mFacts.mFingerprint.Value());
-  const EndpointId* best = nullptr;
+  const EndpointRow* best = nullptr;
   std::uint64_t bestHash = 0;
   for (const auto& it : aPool.mHosting) {
     const auto* endpoint = mTables.mEndpoints.Find(it);
     if (endpoint == nullptr || aSuspect.HasCrashed(it)) {
       continue;
     }
-    if (!endpoint->CanTake(aNow, mTables.mOptions.mDefaultSlots) || holdsSuspect(it)) {
-      continue;
+    if (aNow < endpoint->mUnreachableAt + kAlertTime) {
+      return nullptr;
     }
     const auto hash = StableHash(it.Value(), seed);
-    if (best == nullptr || hash > bestHash) {
-      best = &it;
+    if (endpoint->mBreaker.Allows(aNow) && (best == nullptr || hash > bestHash)) {
+      best = endpoint;
       bestHash = hash;
     }
   }
-  return best;
+  if (best == nullptr || HoldsSuspect(best->mRecord.mId)) {
+    return nullptr;
+  }
+  const double slots = best->Slots(mTables.mOptions.mDefaultSlots);
+  return best->Load(aNow) < slots * kTrialOvercommit ? &best->mRecord.mId : nullptr;
+}
+
+bool QuarantineSystem::HoldsSuspect(const EndpointId& aEndpoint)
+{
+  const auto& live = mTables.mSuspects.mLive;
+  return std::any_of(live.begin(), live.end(), [&](const auto& aItem) {
+    return aItem.second.mEndpoint == aEndpoint && IsSuspect(aItem.first);
+  });
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/systems/QuarantineSystem.h
+++ b/modules/skylarkchute_routing/systems/QuarantineSystem.h
@@ -23,11 +23,17 @@
   EndpointId mEndpoint;
 };
 
+/** The request is a suspect and is tried on this endpoint, even when that has no room. */
+struct GateTrial
+{
+  EndpointId mEndpoint;
+};
+
 /** The fingerprint is refused. */
 struct GateQuarantined
 {};
 
-using GateDecision = std::variant<GateFree, GateWait, GateOnly, GateQuarantined>;
+using GateDecision = std::variant<GateFree, GateWait, GateOnly, GateTrial, GateQuarantined>;
 
 /** Keeps a request that crashes endpoints from more than two of them.
 
@@ -51,6 +57,10 @@
   /** Returns whether the fingerprint was at a crash and has not completed since. */
   bool IsSuspect(const Fingerprint& aFingerprint);
 
+  /** Returns whether the attempts of the request should be cancelled and made again later: a peer
+      saw the fingerprint at a crash, and it has never completed here. */
+  bool ShouldRecall(const RequestRow& aRow);
+
   /** Notes that an attempt was opened. */
   void OnOpen(const RequestRow& aRow, const AttemptRow& aAttempt);
 
@@ -67,6 +77,8 @@
   void OnCrash(RequestRow& aRow, const EndpointId& aEndpoint, TimePoint aNow);
   void CountCrash(SuspectRow& aSuspect, const std::optional<EndpointId>& aEndpoint, TimePoint aNow);
   void QuarantineIfDue(const Fingerprint& aFingerprint, SuspectRow& aSuspect, TimePoint aNow);
+  bool HoldsSuspect(const EndpointId& aEndpoint);
+  /** Returns the endpoint of a trial, the same on every instance, or null when it has to wait. */
   const EndpointId* TrialEndpoint(const RequestRow& aRow,
                                   const SuspectRow& aSuspect,
                                   const PoolRow& aPool,
--- a/modules/skylarkchute_routing/systems/RequestFlow.cpp
+++ b/modules/skylarkchute_routing/systems/RequestFlow.cpp
@@ -204,7 +204,14 @@
   mTables.mWaitingChanged = false;
   for (const auto& it : mTables.mRequests.Ids()) {
     auto* row = mTables.mRequests.Find(it);
-    if (row == nullptr || !row->mLive.empty() || row->mPhase == RequestPhase::Held) {
+    if (row == nullptr || row->mPhase == RequestPhase::Held) {
+      continue;
+    }
+    if (mQuarantine.ShouldRecall(*row)) {
+      Recall(*row, aNow, aSteps);
+      continue;
+    }
+    if (!row->mLive.empty()) {
       continue;
     }
     const bool usable = !row->mVersion || mVersions.IsUsable(*row, *row->mVersion);
@@ -217,6 +224,15 @@
   }
 }
 
+void RequestFlow::Recall(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps)
+{
+  CancelLive(aRow, aNow, aSteps);
+  aRow.mWorstVerdict = WorseVerdict(aRow.mWorstVerdict, Verdict::MayHaveRun);
+  aRow.mRetryPending = true;
+  aRow.mPhase = RequestPhase::New;
+  Place(aRow, aNow, aSteps);
+}
+
 void RequestFlow::Place(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps)
 {
   assert(aRow.mLive.empty());
@@ -267,6 +283,18 @@
   return true;
 }
 
+EndpointRow* RequestFlow::GatedEndpoint(const GateDecision& aGate, TimePoint aNow)
+{
+  if (const auto* trial = std::get_if<GateTrial>(&aGate)) {
+    return mTables.mEndpoints.Find(trial->mEndpoint);
+  }
+  const auto* only = std::get_if<GateOnly>(&aGate);
+  auto* endpoint = only == nullptr ? nullptr : mTables.mEndpoints.Find(only->mEndpoint);
+  const bool canTake =
+    endpoint != nullptr && endpoint->CanTake(aNow, mTables.mOptions.mDefaultSlots);
+  return canTake ? endpoint : nullptr;
+}
+
 bool RequestFlow::PassGate(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps)
 {
   const auto gate = mQuarantine.Check(aRow, mPools.Fresh(aRow.mPool), aNow);
@@ -281,12 +309,10 @@
   auto until = aNow + kGatePeriod;
   if (const auto* wait = std::get_if<GateWait>(&gate)) {
     until = wait->mUntil;
-  } else {
-    auto* endpoint = mTables.mEndpoints.Find(std::get<GateOnly>(gate).mEndpoint);
-    if (endpoint != nullptr && endpoint->CanTake(aNow, mTables.mOptions.mDefaultSlots)) {
-      Send(aRow, *endpoint, aNow, aSteps);
-      return false;
-    }
+  }
+  if (auto* endpoint = GatedEndpoint(gate, aNow)) {
+    Send(aRow, *endpoint, aNow, aSteps);
+    return false;
   }
   const bool isNew = aRow.mPhase != RequestPhase::Delayed;
   aRow.mPhase = RequestPhase::Delayed;
--- a/modules/skylarkchute_routing/systems/RequestFlow.h
+++ b/modules/skylarkchute_routing/systems/RequestFlow.h
@@ -64,9 +64,12 @@
   void SweepWaiting(TimePoint aNow, RouterSteps& aSteps);
 
 private:
+  /** Cancels the attempts of a request and makes another later. */
+  void Recall(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps);
   /** Chooses version and endpoint for a request without a live attempt, or queues or ends it. */
   void Place(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps);
   bool ChooseVersion(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps);
+  EndpointRow* GatedEndpoint(const GateDecision& aGate, TimePoint aNow);
   /** Returns whether the row may go on to the queue; else it was sent, delayed or refused. */
   bool PassGate(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps);
   void DrainPool(const PoolKey& aPool, TimePoint aNow, RouterSteps& aSteps);
--- a/modules/skylarkchute_routing/tables/EndpointTable.h
+++ b/modules/skylarkchute_routing/tables/EndpointTable.h
@@ -20,9 +20,10 @@
   std::uint32_t mInFlight = 0;      /**< Own attempts. */
   std::uint32_t mOthers = 0;        /**< Load by other instances, at the last report. */
   TimePoint mReportedAt{};
-  TimePoint mFullUntil{}; /**< Said that it has no room. */
-  TimePoint mBrokenAt{};  /**< Last crash seen. */
-  double mSlowness = 1;   /**< Moving average of latency over the expected latency. */
+  TimePoint mFullUntil{};     /**< Said that it has no room. */
+  TimePoint mBrokenAt{};      /**< Last crash seen. */
+  TimePoint mUnreachableAt{}; /**< Last crash or failed connection seen. */
+  double mSlowness = 1;       /**< Moving average of latency over the expected latency. */
   TimePoint mSlownessAt{};
   Breaker mBreaker;
 
--- a/modules/skylarkchute_routing/tables/RequestTable.h
+++ b/modules/skylarkchute_routing/tables/RequestTable.h
@@ -18,6 +18,7 @@
   std::optional<VersionId> mVersion;
   TimePoint mStarted{};
   bool mHedge = false;
+  bool mTrial = false; /**< Made while the fingerprint was suspect. */
   bool mFirstTokenSeen = false;
 };
 
--- /dev/null
+++ b/tests/skylarkchute_routing/QuarantineTests.cpp
@@ -0,0 +1,231 @@
+#include "RouterFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+
+namespace skylarkchute {
+
+namespace {
+
+using Fixture = RouterFixture;
+
+const Fingerprint kPoison{ "poison" };
+constexpr std::uint64_t kSeeds = 200;
+
+/** An attempt that runs at a fake engine. */
+struct Running
+{
+  std::size_t mInstance;
+  DispatchStep mStep;
+  Fingerprint mFingerprint;
+  TimePoint mEnds;
+};
+
+/** An alert on its way to the other instances. */
+struct Travelling
+{
+  std::size_t mFrom;
+  RoutingAlert mAlert;
+  TimePoint mArrives;
+};
+
+/** Several instances before the same engines; one fingerprint crashes each engine that runs it. */
+class CrashWorld
+{
+public:
+  CrashWorld(std::size_t aInstances, std::size_t aEngines, std::uint64_t aSeed) : mRandom(aSeed)
+  {
+    for (std::size_t n = 0; n < aInstances; ++n) {
+      mInstances.push_back(std::make_unique<Fixture>(aSeed * 100 + n));
+      for (std::size_t e = 0; e < aEngines; ++e) {
+        mInstances.back()->AddEngine("e" + std::to_string(e), { "dear-1" }, 8);
+      }
+    }
+  }
+
+  std::size_t Draw(std::size_t aCount)
+  {
+    return boost::random::uniform_int_distribution<std::size_t>(0, aCount - 1)(mRandom);
+  }
+
+  void Send(std::size_t aInstance, const Fingerprint& aFingerprint)
+  {
+    auto& instance = *mInstances[aInstance];
+    auto facts = instance.Facts(std::chrono::seconds(20));
+    facts.mId = RequestId("i" + std::to_string(aInstance) + "-" + facts.mId.Value());
+    facts.mModel = ModelName("dear");
+    facts.mFingerprint = aFingerprint;
+    mFingerprints[facts.mId] = aFingerprint;
+    Take(aInstance, instance.mRouter.Start(facts, instance.mClock.Now()));
+  }
+
+  /** Crashes an engine by itself. */
+  void Crash(const EndpointId& aEngine)
+  {
+    std::vector<Running> victims;
+    std::copy_if(mRunning.begin(),
+                 mRunning.end(),
+                 std::back_inserter(victims),
+                 [&](const auto& it) { return it.mStep.mEndpoint == aEngine; });
+    std::erase_if(mRunning, [&](const auto& it) { return it.mStep.mEndpoint == aEngine; });
+    mDownUntil[aEngine] = Now() + std::chrono::seconds(5);
+    for (const auto& it : victims) {
+      Take(it.mInstance, mInstances[it.mInstance]->End(it.mStep, AttemptEnd::Broken));
+    }
+  }
+
+  void Run(std::chrono::milliseconds aTime)
+  {
+    constexpr std::chrono::milliseconds kStep{ 10 };
+    for (auto it = kStep; it <= aTime; it += kStep) {
+      Step(kStep);
+    }
+  }
+
+  TimePoint Now() const { return mInstances.front()->mClock.Now(); }
+
+  std::set<EndpointId> mPoisoned; /**< Engines that the fingerprint crashed. */
+  std::size_t mPoisonRuns = 0;
+  std::size_t mFinished = 0;
+  std::vector<RefuseStep> mRefusals;
+
+private:
+  void Step(std::chrono::milliseconds aStep)
+  {
+    for (std::size_t n = 0; n < mInstances.size(); ++n) {
+      Take(n, mInstances[n]->Run(aStep));
+    }
+    std::vector<Running> due;
+    std::copy_if(mRunning.begin(), mRunning.end(), std::back_inserter(due), [&](const auto& it) {
+      return it.mEnds <= Now();
+    });
+    std::erase_if(mRunning, [&](const auto& it) { return it.mEnds <= Now(); });
+    for (const auto& it : due) {
+      if (mDownUntil[it.mStep.mEndpoint] > Now()) {
+        Take(it.mInstance, mInstances[it.mInstance]->End(it.mStep, AttemptEnd::ConnectFailed));
+      } else if (it.mFingerprint == kPoison) {
+        mPoisoned.insert(it.mStep.mEndpoint);
+        ++mPoisonRuns;
+        mRunning.push_back(it);
+        Crash(it.mStep.mEndpoint);
+      } else {
+        Take(it.mInstance, mInstances[it.mInstance]->End(it.mStep, AttemptEnd::Complete));
+      }
+    }
+    CarryAlerts();
+  }
+
+  void CarryAlerts()
+  {
+    for (std::size_t n = 0; n < mInstances.size(); ++n) {
+      for (auto& it : mInstances[n]->mRouter.TakeReports(Now()).mAlerts) {
+        mAlerts.push_back({ n, it, Now() + std::chrono::milliseconds(50) });
+      }
+    }
+    while (!mAlerts.empty() && mAlerts.front().mArrives <= Now()) {
+      for (std::size_t n = 0; n < mInstances.size(); ++n) {
+        if (n != mAlerts.front().mFrom) {
+          mInstances[n]->mRouter.ApplyAlert(mAlerts.front().mAlert, Now());
+        }
+      }
+      mAlerts.pop_front();
+    }
+  }
+
+  void Take(std::size_t aInstance, const RouterSteps& aSteps)
+  {
+    for (const auto& it : Fixture::Of<DispatchStep>(aSteps)) {
+      const auto length = std::chrono::milliseconds(50 + Draw(400));
+      mRunning.push_back({ aInstance, it, mFingerprints[it.mRequest], Now() + length });
+    }
+    for (const auto& it : Fixture::Of<CancelStep>(aSteps)) {
+      std::erase_if(mRunning, [&](const auto& aRun) { return aRun.mStep.mAttempt == it.mAttempt; });
+    }
+    mFinished += Fixture::Of<FinishStep>(aSteps).size();
+    for (const auto& it : Fixture::Of<RefuseStep>(aSteps)) {
+      mRefusals.push_back(it);
+    }
+  }
+
+  boost::random::mt19937_64 mRandom;
+  std::vector<std::unique_ptr<Fixture>> mInstances;
+  std::map<RequestId, Fingerprint> mFingerprints;
+  std::vector<Running> mRunning;
+  std::deque<Travelling> mAlerts;
+  std::map<EndpointId, TimePoint> mDownUntil;
+};
+
+} // namespace
+
+TEST_CASE("A fingerprint that crashes engines costs at most two, wherever its caller resends")
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CrashWorld world(3, 8, seed);
+    for (std::size_t n = 0; n < 20; ++n) {
+      for (std::size_t healthy = 0; healthy < 4; ++healthy) {
+        world.Send(world.Draw(3), Fingerprint("h" + std::to_string(n * 4 + healthy)));
+      }
+      world.Send(world.Draw(3), kPoison);
+      world.Run(std::chrono::milliseconds(100 + world.Draw(900)));
+    }
+    world.Run(std::chrono::seconds(25));
+    INFO("seed " << seed);
+    REQUIRE(world.mPoisoned.size() <= 2);
+    REQUIRE(world.mPoisonRuns <= 2);
+  }
+}
+
+TEST_CASE("No request is quarantined when an engine crashes by itself")
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    CrashWorld world(3, 8, seed);
+    for (std::size_t n = 0; n < 30; ++n) {
+      for (std::size_t healthy = 0; healthy < 4; ++healthy) {
+        world.Send(world.Draw(3), Fingerprint("h" + std::to_string(n * 4 + healthy)));
+      }
+      world.Run(std::chrono::milliseconds(100));
+      if (n == 15) {
+        world.Crash(EndpointId("e" + std::to_string(world.Draw(8))));
+      }
+    }
+    world.Run(std::chrono::seconds(25));
+    INFO("seed " << seed);
+    for (const auto& it : world.mRefusals) {
+      REQUIRE(it.mReason != "request-quarantined");
+    }
+    REQUIRE(world.mFinished + world.mRefusals.size() == 120);
+    REQUIRE(world.mRefusals.size() <= 2);
+  }
+}
+
+TEST_CASE("A quarantined fingerprint is refused at once, also where it waits in a queue")
+{
+  Fixture it;
+  it.AddEngine("e1", { "dear-1" }, 1);
+  auto busy = it.Facts();
+  busy.mModel = ModelName("dear");
+  REQUIRE(Fixture::Of<DispatchStep>(it.mRouter.Start(busy, it.mClock.Now())).size() == 1);
+  auto waiting = it.Facts();
+  waiting.mModel = ModelName("dear");
+  waiting.mFingerprint = kPoison;
+  REQUIRE(Fixture::Of<WaitStep>(it.mRouter.Start(waiting, it.mClock.Now())).size() == 1);
+  it.mRouter.ApplyAlert({ std::nullopt, kPoison, 2, "endpoint-crash" }, it.mClock.Now());
+  const auto refusals = Fixture::Of<RefuseStep>(it.Run(std::chrono::milliseconds(10)));
+  REQUIRE(refusals.size() == 1);
+  REQUIRE(refusals[0].mRequest == waiting.mId);
+  REQUIRE(refusals[0].mReason == "request-quarantined");
+  REQUIRE(refusals[0].mVerdict == Verdict::NotRun);
+  auto later = it.Facts();
+  later.mFingerprint = kPoison;
+  later.mModel = ModelName("dear");
+  REQUIRE(Fixture::Of<RefuseStep>(it.mRouter.Start(later, it.mClock.Now())).size() == 1);
+}
+
+} // namespace skylarkchute
