--- a/modules/skylarkchute_core/store/ObjectCall.h
+++ b/modules/skylarkchute_core/store/ObjectCall.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace skylarkchute {
@@ -28,6 +29,14 @@
   Status,
 };
 
+/** Returns the name of a purpose in metrics. */
+constexpr std::string_view CallPurposeName(CallPurpose aPurpose)
+{
+  constexpr std::string_view kNames[] = { "claim", "pin",   "usage", "bundle",
+                                          "roll",  "order", "audit", "status" };
+  return kNames[static_cast<std::size_t>(aPurpose)];
+}
+
 /** Reads one object. */
 struct GetObject
 {
--- a/modules/skylarkchute_node/events/NodeEvents.h
+++ b/modules/skylarkchute_node/events/NodeEvents.h
@@ -6,14 +6,17 @@
 
 namespace skylarkchute {
 
-inline constexpr EventDescription kBundleInForce{
-  901, EventLevel::Info, "bundle-in-force", "Another generation of the bundle is in force here."
-};
 inline constexpr EventDescription kRequestRefused{
-  902, EventLevel::Debug, "request-refused", "A request ended without an answer of an endpoint."
+  902,
+  EventLevel::Debug,
+  "request-refused",
+  "A request ended without an answer of an endpoint."
 };
 inline constexpr EventDescription kPeerMessageUnreadable{
-  903, EventLevel::Warning, "peer-message-unreadable", "A message of a peer could not be read."
+  903,
+  EventLevel::Warning,
+  "peer-message-unreadable",
+  "A message of a peer could not be read."
 };
 inline constexpr EventDescription kGenerationUnconfirmed{
   904,
@@ -25,7 +28,7 @@
 /** Returns every event of this module. */
 inline std::vector<const EventDescription*> NodeEvents()
 {
-  return { &kBundleInForce, &kRequestRefused, &kPeerMessageUnreadable, &kGenerationUnconfirmed };
+  return { &kRequestRefused, &kPeerMessageUnreadable, &kGenerationUnconfirmed };
 }
 
 } // namespace skylarkchute
