--- a/modules/skylarkchute_endpoints/attempts/AttemptRunner.cpp
+++ b/modules/skylarkchute_endpoints/attempts/AttemptRunner.cpp
@@ -46,7 +46,7 @@
 }
 
 void AttemptRunner::Submit(AttemptRequest aRequest,
-                           std::shared_ptr<EndpointClient::Listener> aListener)
+                           const std::shared_ptr<EndpointClient::Listener>& aListener)
 {
   const auto attempt = aRequest.mAttempt;
   if (TryReserve(
--- a/modules/skylarkchute_endpoints/attempts/AttemptRunner.h
+++ b/modules/skylarkchute_endpoints/attempts/AttemptRunner.h
@@ -32,7 +32,7 @@
 
   /** Runs an attempt; its listener hears on a thread of the runner. When no thread and no place in
       the queue is free, OnEnd comes on the calling thread with Refused and NotRun. */
-  void Submit(AttemptRequest aRequest, std::shared_ptr<EndpointClient::Listener> aListener);
+  void Submit(AttemptRequest aRequest, const std::shared_ptr<EndpointClient::Listener>& aListener);
 
   /** Ends an attempt soon: closes its connection and tells the endpoint. Unknown ids are ignored.
    */
--- a/modules/skylarkchute_endpoints/load/LoadPoller.cpp
+++ b/modules/skylarkchute_endpoints/load/LoadPoller.cpp
@@ -1,40 +1,114 @@
 #include "LoadPoller.h"
 
-#include "../connections/JsonExchange.h"
-#include "../json/JsonObject.h"
+#include "LoadClient.h"
+
+#include <algorithm>
+#include <cassert>
 
 namespace skylarkchute {
 
-namespace {
+LoadPoller::LoadPoller(Options aOptions, std::shared_ptr<Listener> aListener)
+  : mOptions(aOptions)
+  , mListener(std::move(aListener))
+{
+  assert(mListener && mOptions.mPeriod.count() > 0 && mOptions.mThreads > 0);
+  for (std::size_t n = 0; n < mOptions.mThreads; ++n) {
+    mThreads.emplace_back([this] { Run(); });
+  }
+}
 
-std::uint32_t Number(const Json::Value& aReport, const char* aName)
+LoadPoller::~LoadPoller()
 {
-  return aReport[aName].isUInt() ? aReport[aName].asUInt() : 0;
+  {
+    const std::lock_guard lock(mMutex);
+    mStopping = true;
+    mChanged.notify_all();
+  }
+  for (auto& it : mThreads) {
+    it.join();
+  }
 }
 
-} // namespace
+void LoadPoller::SetEndpoints(const std::vector<EndpointRecord>& aEndpoints)
+{
+  const std::lock_guard lock(mMutex);
+  std::map<EndpointId, Poll> polls;
+  for (const auto& it : aEndpoints) {
+    const auto known = mPolls.find(it.mId);
+    auto& poll = polls[it.mId];
+    if (known != mPolls.end()) {
+      poll = known->second;
+    } else {
+      poll.mPeriod = mOptions.mPeriod;
+      poll.mDue = mClock.Now() + FirstDelay(it.mId);
+    }
+    poll.mEndpoint = it;
+  }
+  mPolls = std::move(polls);
+  mChanged.notify_all();
+}
+
+std::chrono::milliseconds LoadPoller::FirstDelay(const EndpointId& aEndpoint) const
+{
+  const auto slots = static_cast<std::uint64_t>(mOptions.mPeriod.count());
+  return std::chrono::milliseconds(StableHash(aEndpoint.Value()) % slots);
+}
 
-std::optional<LoadReport> PollLoad(const EndpointRecord& aEndpoint,
-                                   std::chrono::milliseconds aTimeout)
+void LoadPoller::Run()
 {
-  const auto reply =
-    ExchangeJson({ aEndpoint.mAddress, aEndpoint.mPort, "GET", "/v1/load", "", aTimeout });
-  Json::Value value;
-  if (!reply.IsOk() || !ParseJsonObject(reply.mBody, value)) {
-    return std::nullopt;
+  std::unique_lock lock(mMutex);
+  while (!mStopping) {
+    auto* next = NextDue();
+    if (next == nullptr) {
+      mChanged.wait(lock);
+      continue;
+    }
+    if (mClock.Now() < next->mDue) {
+      mChanged.wait_until(lock, next->mDue);
+      continue;
+    }
+    next->mRunning = true;
+    const auto endpoint = next->mEndpoint;
+    lock.unlock();
+    const bool answered = PollOnce(endpoint);
+    lock.lock();
+    Reschedule(endpoint.mId, answered);
   }
-  LoadReport report;
-  report.mEndpoint = aEndpoint.mId;
-  report.mRunning = Number(value, "running");
-  report.mQueued = Number(value, "queued");
-  report.mSlots = Number(value, "slots");
-  report.mLeaving = value["leaving"].isBool() && value["leaving"].asBool();
-  if (value["hosted"].isArray()) {
-    for (const auto& it : value["hosted"]) {
-      report.mHostedLabels.push_back(it.isString() ? it.asString() : "");
+}
+
+LoadPoller::Poll* LoadPoller::NextDue()
+{
+  Poll* next = nullptr;
+  for (auto& [id, poll] : mPolls) {
+    if (!poll.mRunning && (next == nullptr || poll.mDue < next->mDue)) {
+      next = &poll;
     }
   }
-  return report;
+  return next;
+}
+
+bool LoadPoller::PollOnce(const EndpointRecord& aEndpoint)
+{
+  const auto report = PollLoad(aEndpoint, mOptions.mTimeout);
+  if (!report) {
+    mListener->OnLoadMissing(aEndpoint.mId);
+    return false;
+  }
+  mListener->OnLoad(*report);
+  return true;
+}
+
+void LoadPoller::Reschedule(const EndpointId& aEndpoint, bool aAnswered)
+{
+  const auto it = mPolls.find(aEndpoint);
+  if (it == mPolls.end()) {
+    return;
+  }
+  auto& poll = it->second;
+  poll.mRunning = false;
+  poll.mPeriod = aAnswered ? mOptions.mPeriod : std::min(poll.mPeriod * 2, mOptions.mMaxPeriod);
+  poll.mDue = std::max(poll.mDue + poll.mPeriod, mClock.Now());
+  mChanged.notify_all();
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_endpoints/skylarkchute_endpoints.h
+++ b/modules/skylarkchute_endpoints/skylarkchute_endpoints.h
@@ -8,6 +8,7 @@
 #include "attempts/EndpointClient.h"
 #include "connections/JsonExchange.h"
 #include "events/EndpointsEvents.h"
+#include "load/LoadClient.h"
 #include "load/LoadPoller.h"
 #include "orders/OrderClient.h"
 #include "ratings/RatingClient.h"
