Resume from the first chunk, pass on client errors of services, honest end of idle connections

Cause: a stream that broke before its first chunk was resumed after chunk 1; a 404 of a plain service looked like a failed attempt; an attempt without time left counted against its endpoint; a draining entry looked at every idle connection 20 times a second. Change: Last-Event-ID 0 asks for the whole stream; a whole 4xx answer of a plain service is its answer; such an attempt is TimedOut and not-run; draining ends idle connections at once and a request that meets this end gets 503 not-run. Conclusion: each fault has a test.

--- a/modules/skylarkchute_endpoints/attempts/EndpointClient.cpp
+++ b/modules/skylarkchute_endpoints/attempts/EndpointClient.cpp
@@ -38,7 +38,8 @@
 void EndpointClient::Run()
 {
   if (!OpenConnection()) {
-    End(mCancelled ? AttemptEnd::Cancelled : AttemptEnd::ConnectFailed,
+    const bool late = TimeLeft().count() <= 0;
+    End(late ? AttemptEnd::TimedOut : AttemptEnd::ConnectFailed,
         Verdict::NotRun,
         "no connection to the endpoint");
   } else {
@@ -79,7 +80,7 @@
 {
   try {
     mSent = true;
-    SendRequest(mRequest.mMethod, mRequest.mBody, 0);
+    SendRequest(mRequest.mMethod, mRequest.mBody, std::nullopt);
     mConnection->ReceiveHead(TimeLeft());
     TakeAnswer();
   } catch (const Poco::TimeoutException&) {
@@ -91,7 +92,7 @@
 
 void EndpointClient::SendRequest(const std::string& aMethod,
                                  const std::string& aBody,
-                                 std::uint64_t aLastNumber)
+                                 std::optional<std::uint64_t> aLastNumber)
 {
   Poco::Net::HTTPRequest request(aMethod, mRequest.mPath, "HTTP/1.1");
   request.set("X-Request-Id", mRequest.mAttempt.Value());
@@ -102,8 +103,8 @@
   if (!mRequest.mContentType.empty()) {
     request.setContentType(mRequest.mContentType);
   }
-  if (aLastNumber > 0) {
-    request.set("Last-Event-ID", std::to_string(aLastNumber));
+  if (aLastNumber) {
+    request.set("Last-Event-ID", std::to_string(*aLastNumber));
   }
   mConnection->Send(request, aBody, TimeLeft());
 }
@@ -182,7 +183,7 @@
     }
     try {
       // A GET cannot start a run at an endpoint that does not know how to resume.
-      SendRequest("GET", "", std::max<std::uint64_t>(mAssembler.LastNumber(), 1));
+      SendRequest("GET", "", mAssembler.LastNumber());
       mConnection->ReceiveHead(TimeLeft());
     } catch (const Poco::Exception&) {
       continue;
@@ -259,6 +260,11 @@
     return;
   }
   const bool clientError = status < kFirstServerError && status != kTooManyRequests;
+  if (!mRequest.mModelRequest && clientError && end == ReadEnd::Whole && IsEchoRight()) {
+    // What a plain service says to its client is for the caller to read.
+    End(AttemptEnd::Complete, Verdict::Ran, "");
+    return;
+  }
   End(clientError ? AttemptEnd::Rejected : AttemptEnd::Failed,
       Verdict::MayHaveRun,
       "the endpoint answered with status " + std::to_string(status));
--- a/modules/skylarkchute_endpoints/attempts/EndpointClient.h
+++ b/modules/skylarkchute_endpoints/attempts/EndpointClient.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 
 namespace skylarkchute {
 
@@ -57,7 +58,9 @@
   void TakeError();
   bool ResumeStream();
   bool OpenConnection();
-  void SendRequest(const std::string& aMethod, const std::string& aBody, std::uint64_t aLastNumber);
+  void SendRequest(const std::string& aMethod,
+                   const std::string& aBody,
+                   std::optional<std::uint64_t> aLastNumber);
   StreamState ReadStream();
   std::string ReadBody(ReadEnd& aEnd);
   bool IsEchoRight() const;
--- a/modules/skylarkchute_entry/http/ConnectionRegistry.cpp
+++ b/modules/skylarkchute_entry/http/ConnectionRegistry.cpp
@@ -30,11 +30,17 @@
 {
   const std::lock_guard lock(mRegistry.mMutex);
   mPhase = Phase::Idle;
+  if (mRegistry.mDraining) {
+    EndLocked(Phase::Drained);
+  }
 }
 
 void ConnectionRegistry::Entry::BeginReading(std::chrono::milliseconds aTimeout)
 {
   const std::lock_guard lock(mRegistry.mMutex);
+  if (mPhase == Phase::Drained || mPhase == Phase::Expired) {
+    return;
+  }
   mPhase = Phase::Reading;
   mDeadline = mRegistry.mClock.Now() + aTimeout;
 }
@@ -42,7 +48,7 @@
 bool ConnectionRegistry::Entry::BeginBusy()
 {
   const std::lock_guard lock(mRegistry.mMutex);
-  if (mPhase == Phase::Expired) {
+  if (mPhase == Phase::Drained || mPhase == Phase::Expired) {
     return false;
   }
   mPhase = Phase::Busy;
@@ -55,8 +61,15 @@
   return mPhase == Phase::Expired;
 }
 
-void ConnectionRegistry::Entry::ShutReceive()
+bool ConnectionRegistry::Entry::IsDrained() const
+{
+  const std::lock_guard lock(mRegistry.mMutex);
+  return mPhase == Phase::Drained;
+}
+
+void ConnectionRegistry::Entry::EndLocked(Phase aPhase)
 {
+  mPhase = aPhase;
   try {
     mSocket.shutdownReceive();
   } catch (const Poco::Exception&) {
@@ -80,6 +93,11 @@
 {
   const std::lock_guard lock(mMutex);
   mDraining = true;
+  for (auto* it : mEntries) {
+    if (it->mPhase == Entry::Phase::Idle) {
+      it->EndLocked(Entry::Phase::Drained);
+    }
+  }
 }
 
 bool ConnectionRegistry::IsDraining() const
@@ -108,8 +126,7 @@
     const auto now = mClock.Now();
     for (auto* it : mEntries) {
       if (it->mPhase == Entry::Phase::Reading && it->mDeadline <= now) {
-        it->mPhase = Entry::Phase::Expired;
-        it->ShutReceive();
+        it->EndLocked(Entry::Phase::Expired);
       }
     }
   }
--- a/modules/skylarkchute_entry/http/ConnectionRegistry.h
+++ b/modules/skylarkchute_entry/http/ConnectionRegistry.h
@@ -14,9 +14,9 @@
 
 /** Knows every connection of callers and ends those that take too long to send a request.
 
-    A connection is idle, reading or busy. A reading one is ended when its time is up: its receiving
-    side is shut, so that the thread that reads sees the end and can still answer. The others are
-    left to their threads. Safe to use from several threads. */
+    A connection is idle, reading or busy. An idle one is ended when the entry drains, a reading one
+    when its time is up: its receiving side is shut, so that the thread that reads sees the end and
+    can still answer. A busy one is left alone. Safe to use from several threads. */
 class ConnectionRegistry
 {
 public:
@@ -30,18 +30,22 @@
     Entry(const Entry&) = delete;
     Entry& operator=(const Entry&) = delete;
 
-    /** The connection waits for a request. */
+    /** The connection waits for a request. Ends it when the entry drains. */
     void BeginIdle();
 
-    /** A request has begun to arrive and must be whole in time. */
+    /** A request has begun to arrive and must be whole in time.
+        Without effect on a connection that was ended. */
     void BeginReading(std::chrono::milliseconds aTimeout);
 
-    /** The request is whole. @returns false when its time was up before */
+    /** The request is whole. @returns false when the connection was ended before */
     bool BeginBusy();
 
     /** Returns whether the time of a reading connection was up. */
     bool IsExpired() const;
 
+    /** Returns whether the connection was ended because the entry drains. */
+    bool IsDrained() const;
+
   private:
     friend class ConnectionRegistry;
 
@@ -51,9 +55,10 @@
       Reading,
       Busy,
       Expired,
+      Drained,
     };
 
-    void ShutReceive();
+    void EndLocked(Phase aPhase);
 
     ConnectionRegistry& mRegistry;
     Poco::Net::StreamSocket mSocket;
@@ -68,7 +73,7 @@
   ConnectionRegistry(const ConnectionRegistry&) = delete;
   ConnectionRegistry& operator=(const ConnectionRegistry&) = delete;
 
-  /** Asks idle connections to end, now and from now on. */
+  /** Ends idle connections, now and from now on. */
   void Drain();
 
   bool IsDraining() const;
--- a/modules/skylarkchute_entry/http/EntryConnection.cpp
+++ b/modules/skylarkchute_entry/http/EntryConnection.cpp
@@ -15,9 +15,10 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
 constexpr std::size_t kLingerBytes = 16 * 1024;
 constexpr std::chrono::milliseconds kLingerTime{ 500 };
-constexpr std::chrono::milliseconds kIdleLook{ 50 };
+constexpr std::chrono::milliseconds kRetryAfter{ 1000 };
 constexpr std::chrono::milliseconds kRegistrySlack{ 1000 };
 
 Poco::Timespan ToTimespan(std::chrono::milliseconds aTime)
@@ -25,12 +26,11 @@
   return { std::chrono::duration_cast<std::chrono::microseconds>(aTime).count() };
 }
 
-Poco::Net::HTTPServerParams::Ptr MakeParams()
+Poco::Net::HTTPServerParams::Ptr MakeParams(const EntryOptions& aOptions)
 {
   Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
-  // These bound one look for the next request; WaitForRequest repeats it.
-  params->setTimeout(ToTimespan(kIdleLook));
-  params->setKeepAliveTimeout(ToTimespan(kIdleLook));
+  params->setTimeout(ToTimespan(aOptions.mReceiveTimeout));
+  params->setKeepAliveTimeout(ToTimespan(aOptions.mKeepAliveTimeout));
   params->setKeepAlive(true);
   return params;
 }
@@ -44,6 +44,15 @@
            std::chrono::milliseconds(0) };
 }
 
+ProblemReply Leaving()
+{
+  return { kServiceUnavailable,
+           Verdict::NotRun,
+           "leaving",
+           "the instance is leaving; send the request to another one",
+           kRetryAfter };
+}
+
 ProblemReply BadHttp()
 {
   return { kBadRequest,
@@ -64,7 +73,7 @@
   , mRegistry(aRegistry)
   , mTls(aTls)
   , mEntry(aRegistry, aSocket)
-  , mParams(MakeParams())
+  , mParams(MakeParams(aContext.mOptions))
 {
 }
 
@@ -72,7 +81,7 @@
 {
   try {
     ServeRequests();
-  } catch (const Poco::Exception&) {
+  } catch (const std::exception&) {
     // The caller has left or does not speak the protocol; nobody is there to be told.
   }
 }
@@ -91,9 +100,8 @@
   }
   mEntry.BeginIdle();
   Poco::Net::HTTPServerSession session(stream, mParams);
-  session.setKeepAlive(true);
   stream.setReceiveTimeout(longestRead);
-  while (WaitForRequest(session)) {
+  while (session.hasMoreRequests()) {
     mEntry.BeginReading(mContext.mOptions.mReceiveTimeout);
     if (!ServeNext(session)) {
       break;
@@ -103,28 +111,14 @@
   Linger();
 }
 
-bool EntryConnection::WaitForRequest(Poco::Net::HTTPServerSession& aSession)
-{
-  const auto start = mClock.Now();
-  bool lastLook = false;
-  while (!lastLook && aSession.getKeepAlive()) {
-    lastLook =
-      mRegistry.IsDraining() || mClock.Now() - start >= mContext.mOptions.mKeepAliveTimeout;
-    if (aSession.hasMoreRequests()) {
-      return true;
-    }
-  }
-  return false;
-}
-
 bool EntryConnection::ServeNext(Poco::Net::HTTPServerSession& aSession)
 {
   Poco::Net::HTTPServerResponseImpl response(aSession);
   response.setDate(Poco::Timestamp());
   try {
     Poco::Net::HTTPServerRequestImpl request(response, aSession, mParams);
-    if (mEntry.IsExpired()) {
-      Refuse(response, SlowRequest());
+    if (const auto ended = WhyEnded()) {
+      Refuse(response, *ended);
       return false;
     }
     // A header block that the caller cut off reads like a whole one.
@@ -147,13 +141,24 @@
       Refuse(response, SlowRequest());
     }
   } catch (const Poco::Net::MessageException&) {
-    Refuse(response, mEntry.IsExpired() ? SlowRequest() : BadHttp());
+    Refuse(response, WhyEnded().value_or(BadHttp()));
   } catch (const Poco::TimeoutException&) {
     Refuse(response, SlowRequest());
   }
   return false;
 }
 
+std::optional<ProblemReply> EntryConnection::WhyEnded() const
+{
+  if (mEntry.IsExpired()) {
+    return SlowRequest();
+  }
+  if (mEntry.IsDrained()) {
+    return Leaving();
+  }
+  return std::nullopt;
+}
+
 void EntryConnection::Linger()
 {
   // Closing with unread bytes would reset the connection and could destroy the answer.
--- a/modules/skylarkchute_entry/http/EntryConnection.h
+++ b/modules/skylarkchute_entry/http/EntryConnection.h
@@ -24,12 +24,11 @@
 
 private:
   void ServeRequests();
-  bool WaitForRequest(Poco::Net::HTTPServerSession& aSession);
   bool ServeNext(Poco::Net::HTTPServerSession& aSession);
+  std::optional<ProblemReply> WhyEnded() const;
   void Linger();
   void Refuse(Poco::Net::HTTPServerResponse& aResponse, const ProblemReply& aProblem);
 
-  SystemClock mClock;
   EntryContext mContext;
   ConnectionRegistry& mRegistry;
   TlsIdentity* mTls;
--- a/modules/skylarkchute_entry/http/ReplyWriter.cpp
+++ b/modules/skylarkchute_entry/http/ReplyWriter.cpp
@@ -84,8 +84,17 @@
   mResponse.setContentType("text/event-stream");
   mResponse.set("Cache-Control", "no-cache");
   mResponse.setChunkedTransferEncoding(true);
-  mStream = &mResponse.send();
-  return true;
+  return Open();
+}
+
+bool ReplyWriter::Open()
+{
+  try {
+    mStream = &mResponse.send();
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+  return mStream->good();
 }
 
 bool ReplyWriter::SendWhole(const std::string& aBody)
@@ -96,8 +105,7 @@
   if (status != Poco::Net::HTTPResponse::HTTP_NO_CONTENT) {
     mResponse.setContentLength64(static_cast<Poco::Int64>(aBody.size()));
   }
-  mStream = &mResponse.send();
-  return Write(hasNoBody ? "" : aBody);
+  return Open() && Write(hasNoBody ? "" : aBody);
 }
 
 bool ReplyWriter::Write(const std::string& aText)
--- a/modules/skylarkchute_entry/http/ReplyWriter.h
+++ b/modules/skylarkchute_entry/http/ReplyWriter.h
@@ -35,6 +35,7 @@
   void SetHead(const AnswerHead& aHead);
   bool BeginStream(const AnswerHead& aHead);
   bool SendWhole(const std::string& aBody);
+  bool Open();
   bool Write(const std::string& aText);
 
   Poco::Net::HTTPServerResponse& mResponse;
--- a/modules/skylarkchute_entry/http/RouteHandler.cpp
+++ b/modules/skylarkchute_entry/http/RouteHandler.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::size_t kIdBytes = 12;
 constexpr std::size_t kReadBytes = 16 * 1024;
-constexpr std::chrono::milliseconds kLeavePollPeriod{ 100 };
+constexpr std::chrono::milliseconds kLeavePollPeriod{ 250 };
 constexpr std::string_view kChatPath = "/v1/chat/completions";
 constexpr std::string_view kModelsPath = "/v1/models";
 constexpr std::string_view kTicketsPath = "/v1/tickets";
--- a/modules/skylarkchute_entry/requests/RequestParser.cpp
+++ b/modules/skylarkchute_entry/requests/RequestParser.cpp
@@ -164,7 +164,7 @@
   return facts;
 }
 
-ParsedRequest RequestParser::ParseChat(RawRequest aRaw, RequestId aId, TimePoint aNow) const
+ParsedRequest RequestParser::ParseChat(RawRequest aRaw, const RequestId& aId, TimePoint aNow) const
 {
   auto headers = ParseHeaders(aRaw.mHeaders, aId, aNow);
   if (auto* problem = std::get_if<ProblemReply>(&headers)) {
@@ -191,7 +191,9 @@
   return request;
 }
 
-ParsedRequest RequestParser::ParseService(RawRequest aRaw, RequestId aId, TimePoint aNow) const
+ParsedRequest RequestParser::ParseService(RawRequest aRaw,
+                                          const RequestId& aId,
+                                          TimePoint aNow) const
 {
   assert(aRaw.mUri.starts_with(kServicesPrefix));
   auto headers = ParseHeaders(aRaw.mHeaders, aId, aNow);
--- a/modules/skylarkchute_entry/requests/RequestParser.h
+++ b/modules/skylarkchute_entry/requests/RequestParser.h
@@ -44,10 +44,10 @@
   explicit RequestParser(Options aOptions);
 
   /** Parses `POST /v1/chat/completions`. */
-  ParsedRequest ParseChat(RawRequest aRaw, RequestId aId, TimePoint aNow) const;
+  ParsedRequest ParseChat(RawRequest aRaw, const RequestId& aId, TimePoint aNow) const;
 
   /** Parses a request below `/services/NAME/`. */
-  ParsedRequest ParseService(RawRequest aRaw, RequestId aId, TimePoint aNow) const;
+  ParsedRequest ParseService(RawRequest aRaw, const RequestId& aId, TimePoint aNow) const;
 
   /** Returns the key of `Authorization: Bearer KEY`, empty when there is none. */
   static std::string BearerKey(const std::string& aAuthorization);
--- a/tests/skylarkchute_endpoints/AttemptTests.cpp
+++ b/tests/skylarkchute_endpoints/AttemptTests.cpp
@@ -78,6 +78,43 @@
   CHECK(engine.RunsOfKey("key-r.1") == 1);
 }
 
+TEST_CASE("a stream that breaks before its first chunk is resumed from the start")
+{
+  EngineStandIn engine(EngineOptions());
+  engine.Switch(R"({"break_after":0,"break_times":1})");
+  const auto listener = std::make_shared<RecordingListener>();
+  const auto result = RunOne(ChatAttempt(engine.Port(), "r.1", true), listener);
+  CHECK(result.mOutcome.mEnd == AttemptEnd::Complete);
+  CHECK(listener->mText == ExpectedText());
+  CHECK(engine.RunsOfKey("key-r.1") == 1);
+}
+
+TEST_CASE("a plain service's client error is its answer")
+{
+  PlainServiceStandIn service({});
+  service.Switch(R"({"error_status":404})");
+  const auto answered = RunOne(ServiceAttempt(service.Port()));
+  CHECK(answered.mOutcome.mEnd == AttemptEnd::Complete);
+  CHECK(answered.mOutcome.mHttpStatus == 404);
+  CHECK(answered.mBody.find("order-7") != std::string::npos);
+
+  service.Switch(R"({"error_not_run":true})");
+  const auto refused = RunOne(ServiceAttempt(service.Port()));
+  CHECK(refused.mOutcome.mEnd == AttemptEnd::Rejected);
+  CHECK(refused.mOutcome.mVerdict == Verdict::NotRun);
+}
+
+TEST_CASE("an attempt whose time is over before it begins is not run")
+{
+  const EngineStandIn engine(EngineOptions());
+  auto request = ChatAttempt(engine.Port(), "r.1", false);
+  request.mTimeout = std::chrono::milliseconds(0);
+  const auto result = RunOne(request);
+  CHECK(result.mOutcome.mEnd == AttemptEnd::TimedOut);
+  CHECK(result.mOutcome.mVerdict == Verdict::NotRun);
+  CHECK(engine.Runs().empty());
+}
+
 TEST_CASE("a stream that keeps breaking is given up after the bounded resumes")
 {
   EngineStandIn engine(EngineOptions());
--- a/tests/skylarkchute_entry/HttpEntryTests.cpp
+++ b/tests/skylarkchute_entry/HttpEntryTests.cpp
@@ -230,6 +230,34 @@
   CHECK(sink.Submitted() == 0);
 }
 
+TEST_CASE("a caller that waits for leave to send its body gets it, or a refusal at once")
+{
+  FakeSink sink(Echo);
+  const HttpEntry entry(LocalOptions(), sink);
+  const std::string head = "POST /services/a/b HTTP/1.1\r\nAuthorization: Bearer k\r\n"
+                           "Connection: close\r\nExpect: 100-continue\r\nContent-Length: ";
+  auto refused = SendRaw(entry.Port(), head + "99999999\r\n\r\n");
+  CHECK(ReadAll(refused).starts_with("HTTP/1.1 413"));
+  auto socket = SendRaw(entry.Port(), head + "4\r\n\r\n");
+  CHECK(socket.poll(Poco::Timespan(20, 0), Poco::Net::Socket::SELECT_READ));
+  socket.sendBytes("text", 4);
+  const auto reply = ReadAll(socket);
+  CHECK(reply.starts_with("HTTP/1.1 100"));
+  CHECK(reply.find("HTTP/1.1 200") != std::string::npos);
+  CHECK(reply.ends_with("text"));
+}
+
+TEST_CASE("no answer and no refusal repeats the team's key")
+{
+  FakeSink sink(Echo);
+  const HttpEntry entry(LocalOptions(), sink);
+  for (const std::string header : { "Bearer s3cret", "Basic s3cret", "Bearer s3cret s3cret" }) {
+    const auto reply =
+      Call(entry.Port(), "POST", "/services/a/b", "body", { { "Authorization", header } });
+    CHECK(reply.mBody.find("s3cret") == std::string::npos);
+  }
+}
+
 TEST_CASE("a request without a length has an empty body")
 {
   FakeSink sink(Echo);
@@ -346,3 +374,25 @@
   CHECK(reply.mBody.ends_with("data: [DONE]\n\n"));
   CHECK(entry.WaitForSessions(20s));
 }
+
+TEST_CASE("a request that meets the end of its idle connection is refused or never read")
+{
+  for (int n = 0; n < 20; ++n) {
+    FakeSink sink(Echo);
+    HttpEntry entry(LocalOptions(), sink);
+    auto socket = SendRaw(entry.Port(), "GET /healthz HTTP/1.1\r\n\r\n");
+    std::thread stop([&] { entry.StopAccepting(); });
+    const std::string late = "GET /services/a/b HTTP/1.1\r\nAuthorization: Bearer k\r\n\r\n";
+    std::string reply;
+    try {
+      socket.sendBytes(late.data(), static_cast<int>(late.size()));
+      reply = ReadAll(socket);
+    } catch (const Poco::Exception&) {
+      reply = "<reset>";
+    }
+    stop.join();
+    // Either it ran and was answered whole, or it did not run.
+    const bool answered = reply.find("Skylark-Version: small/1") != std::string::npos;
+    CHECK(answered == (sink.Submitted() == 1));
+  }
+}
