--- a/modules/skylarkchute_ledger/usage/UsageLedger.cpp
+++ b/modules/skylarkchute_ledger/usage/UsageLedger.cpp
@@ -32,16 +32,21 @@
   mBackups.insert(mBackups.end(), last.begin(), last.end());
   const auto kept = std::find(mBackups.begin(), mBackups.end(), current);
   mBackup = kept == mBackups.end() ? 0 : static_cast<std::size_t>(kept - mBackups.begin());
+  ClearHolders({ mBackups.begin(), mBackups.end() });
+  UsageOutput output;
+  Advance(aNow, output);
+  return output;
+}
+
+void UsageLedger::ClearHolders(const std::set<InstanceId>& aKept)
+{
   for (auto& [sequence, batch] : mBatches) {
     for (auto& it : batch) {
-      if (std::find(mBackups.begin(), mBackups.end(), it.mHolder) == mBackups.end()) {
+      if (aKept.count(it.mHolder) == 0) {
         it.mHolder = InstanceId();
       }
     }
   }
-  UsageOutput output;
-  Advance(aNow, output);
-  return output;
 }
 
 UsageOutput UsageLedger::Record(const UsageRecord& aRecord, TimePoint aNow)
@@ -229,11 +234,16 @@
   mWriter.Add({ aKey.mOwner, aKey.mSequence, aHeld.mRecords });
 }
 
-UsageOutput UsageLedger::OwnerGone(const IncarnationId& aOwner, TimePoint aNow)
+UsageOutput UsageLedger::IncarnationGone(const IncarnationId& aIncarnation,
+                                         const InstanceId& aInstance,
+                                         TimePoint aNow)
 {
   UsageOutput output;
+  std::set<InstanceId> kept(mBackups.begin(), mBackups.end());
+  kept.erase(aInstance);
+  ClearHolders(kept);
   for (auto& [key, held] : mHeld) {
-    if (key.mOwner == aOwner) {
+    if (key.mOwner == aIncarnation) {
       WriteHeld(key, held);
     }
   }
--- a/modules/skylarkchute_ledger/usage/UsageLedger.h
+++ b/modules/skylarkchute_ledger/usage/UsageLedger.h
@@ -48,7 +48,7 @@
     /** An answer does not wait longer than this for its record to be safe. */
     std::chrono::milliseconds mLongestWait{ 2000 };
     /** Held records are written by the backup after this time, whatever became of the owner. */
-    std::chrono::seconds mLongestHold{ 30 };
+    std::chrono::seconds mLongestHold{ 5 };
     UsageBatchWriter::Options mWriter;
   };
 
@@ -74,8 +74,11 @@
   /** Takes in the message `usage.drop`. */
   void OnDrop(const std::string& aParams);
 
-  /** Writes what is held for an incarnation that has ended. */
-  UsageOutput OwnerGone(const IncarnationId& aOwner, TimePoint aNow);
+  /** Writes what is held for an incarnation that has ended, and gives what it held to another peer.
+      @param aInstance  the instance that it was a life of */
+  UsageOutput IncarnationGone(const IncarnationId& aIncarnation,
+                              const InstanceId& aInstance,
+                              TimePoint aNow);
 
   /** Takes in the outcome of one of the calls. */
   UsageOutput OnReply(const ObjectReply& aReply, TimePoint aNow);
@@ -126,6 +129,7 @@
   void Seal(TimePoint aNow);
   void SealIfDue(TimePoint aNow);
   void SendBackup(TimePoint aNow, UsageOutput& aOutput);
+  void ClearHolders(const std::set<InstanceId>& aKept);
   void ReportUnprotected(TimePoint aNow, UsageOutput& aOutput);
   void WriteHeld(HeldKey aKey, Held& aHeld);
   void OnOwnWritten(const WrittenBatch& aWritten, TimePoint aNow, UsageOutput& aOutput);
