--- a/modules/skylarkchute_bundles/json/JsonObject.h
+++ b/modules/skylarkchute_bundles/json/JsonObject.h
@@ -31,6 +31,9 @@
   /** Returns whether the object has the member, of any type. */
   bool Has(const char* aMember) const { return mValue.isMember(aMember); }
 
+  /** Returns a member of any type, null when it is missing. */
+  const Json::Value& Member(const char* aMember) { return mValue[aMember]; }
+
   /** Returns an array, empty when invalid. */
   const Json::Value& Array(const char* aMember);
 
--- a/modules/skylarkchute_ledger/registers/RegisterOutput.h
+++ b/modules/skylarkchute_ledger/registers/RegisterOutput.h
@@ -26,9 +26,9 @@
   /** Registers are removed this long after they expire, against clock error between instances. */
   std::chrono::seconds mExpiryMargin{ 600 };
   /** Number of shard chains; must be equal on every instance. */
-  std::uint32_t mShards = 64;
+  std::uint32_t mShards = 16;
   /** Registers in the head of a shard before it is sealed. */
-  std::uint32_t mSegmentRegisters = 64;
+  std::uint32_t mSegmentRegisters = 16;
   /** The head is sealed earlier when its values reach this many bytes. */
   std::size_t mSegmentBytes = 65536;
   /** Shards that were not used for this time are dropped from memory. */
--- a/modules/skylarkchute_peers/evidence/EvidenceMessages.cpp
+++ b/modules/skylarkchute_peers/evidence/EvidenceMessages.cpp
@@ -17,36 +17,36 @@
                                               &EvidenceCounts::mRated,
                                               &EvidenceCounts::mRatedGood,
                                               &EvidenceCounts::mLatencySumMs } };
-/** Members of a row before its counters: window, version, class, team. */
-constexpr Json::ArrayIndex kKeyMembers = 4;
+/** Members of a row before its counters: window, class, team. */
+constexpr Json::ArrayIndex kKeyMembers = 3;
 
+/** Rows are grouped by version, and windows count from the first one, to save bytes. */
 Json::Value RowsToJson(const EvidenceTable& aRows)
 {
-  Json::Value rows(Json::arrayValue);
+  const auto base = aRows.empty() ? 0 : aRows.begin()->first.mWindow;
+  Json::Value versions(Json::objectValue);
   for (const auto& [key, counts] : aRows) {
     Json::Value row(Json::arrayValue);
-    row.append(Json::UInt64(key.mWindow));
-    row.append(key.mVersion.Value());
+    row.append(Json::UInt64(key.mWindow - base));
     row.append(key.mClass.Value());
     row.append(key.mTeam.Value());
     for (const auto it : kCounters) {
       row.append(Json::UInt64(counts.*it));
     }
-    rows.append(row);
+    versions[key.mVersion.Value()].append(row);
   }
-  return rows;
+  Json::Value json;
+  json["base"] = Json::UInt64(base);
+  json["versions"] = std::move(versions);
+  return json;
 }
 
 bool IsRow(const Json::Value& aRow)
 {
-  if (!aRow.isArray() || aRow.size() != kKeyMembers + kCounters.size() || !aRow[0].isUInt64()) {
+  if (!aRow.isArray() || aRow.size() != kKeyMembers + kCounters.size() || !aRow[0].isUInt64() ||
+      !aRow[1].isString() || !aRow[2].isString()) {
     return false;
   }
-  for (Json::ArrayIndex n = 1; n < kKeyMembers; ++n) {
-    if (!aRow[n].isString()) {
-      return false;
-    }
-  }
   for (Json::ArrayIndex n = kKeyMembers; n < aRow.size(); ++n) {
     if (!aRow[n].isUInt64()) {
       return false;
@@ -55,22 +55,41 @@
   return true;
 }
 
-std::optional<EvidenceTable> RowsFromJson(const Json::Value& aRows)
+bool ReadRow(const Json::Value& aRow,
+             const VersionId& aVersion,
+             std::uint64_t aBase,
+             EvidenceTable& aTable)
 {
+  if (!IsRow(aRow)) {
+    return false;
+  }
+  const EvidenceKey key{ aBase + aRow[0].asUInt64(),
+                         aVersion,
+                         ClassName(aRow[1].asString()),
+                         TeamName(aRow[2].asString()) };
+  auto& counts = aTable[key];
+  for (Json::ArrayIndex n = 0; n < kCounters.size(); ++n) {
+    counts.*kCounters[n] = aRow[kKeyMembers + n].asUInt64();
+  }
+  return true;
+}
+
+std::optional<EvidenceTable> RowsFromJson(const Json::Value& aJson)
+{
+  if (!aJson.isObject() || !aJson["base"].isUInt64() || !aJson["versions"].isObject()) {
+    return std::nullopt;
+  }
   EvidenceTable table;
-  for (const auto& it : aRows) {
-    if (!IsRow(it)) {
+  const auto& versions = aJson["versions"];
+  for (const auto& version : versions.getMemberNames()) {
+    if (!versions[version].isArray()) {
       return std::nullopt;
     }
-    const EvidenceKey key{ it[0].asUInt64(),
-                           VersionId(it[1].asString()),
-                           ClassName(it[2].asString()),
-                           TeamName(it[3].asString()) };
-    EvidenceCounts counts;
-    for (Json::ArrayIndex n = 0; n < kCounters.size(); ++n) {
-      counts.*kCounters[n] = it[kKeyMembers + n].asUInt64();
+    for (const auto& it : versions[version]) {
+      if (!ReadRow(it, VersionId(version), aJson["base"].asUInt64(), table)) {
+        return std::nullopt;
+      }
     }
-    table[key] = counts;
   }
   return table;
 }
@@ -122,7 +141,7 @@
   message.mFrom = InstanceId(json.Text("from"));
   message.mZone = ZoneName(json.Text("zone"));
   message.mIsZoneSum = json.Flag("sum");
-  auto rows = RowsFromJson(json.Array("rows"));
+  auto rows = RowsFromJson(json.Member("rows"));
   if (!json.IsValid() || !rows) {
     return std::nullopt;
   }
@@ -143,7 +162,7 @@
   JsonObject json(aText);
   EvidenceDown message;
   message.mPassOn = json.Flag("pass");
-  auto rows = RowsFromJson(json.Array("rows"));
+  auto rows = RowsFromJson(json.Member("rows"));
   if (!json.IsValid() || !rows) {
     return std::nullopt;
   }
--- a/modules/skylarkchute_peers/evidence/EvidenceTree.cpp
+++ b/modules/skylarkchute_peers/evidence/EvidenceTree.cpp
@@ -61,6 +61,11 @@
   return static_cast<std::uint64_t>(time / mOptions.mWindow);
 }
 
+std::chrono::milliseconds EvidenceTree::Period() const
+{
+  return mWithTeams ? mOptions.mPeriod : mOptions.mLargeFleetPeriod;
+}
+
 InstanceId EvidenceTree::ZoneCollector(const ZoneName& aZone, std::uint32_t aTopic) const
 {
   const auto zone = mZones.find(aZone);
@@ -121,12 +126,12 @@
   if (!mNextSend) {
     // Instances send at different times of the period.
     const auto share = StableHash(mOptions.mSelf.Value()) % 1000;
-    mNextSend = aNow + mOptions.mPeriod * share / 1000;
+    mNextSend = aNow + Period() * share / 1000;
   }
   if (aNow < *mNextSend) {
     return output;
   }
-  mNextSend = std::max(*mNextSend + mOptions.mPeriod, aNow);
+  mNextSend = std::max(*mNextSend + Period(), aNow);
   ForgetOld(aWallNow);
   SendOwn(output);
   SendZone(output);
--- a/modules/skylarkchute_peers/evidence/EvidenceTree.h
+++ b/modules/skylarkchute_peers/evidence/EvidenceTree.h
@@ -33,6 +33,8 @@
     std::chrono::milliseconds mWindow{ 10000 };
     std::uint64_t mWindowsKept = 6;
     std::chrono::milliseconds mPeriod{ 5000 };
+    /** Period of fleets larger than mMostMembersWithTeams. */
+    std::chrono::milliseconds mLargeFleetPeriod{ 10000 };
     /** What did not arrive is sent again after this time. */
     std::chrono::milliseconds mRetry{ 500 };
     std::chrono::milliseconds mCallTimeout{ 1000 };
@@ -113,6 +115,7 @@
             const EvidenceTable& aRows,
             EvidenceOutput& aOutput);
   void ForgetOld(WallTime aWallNow);
+  std::chrono::milliseconds Period() const;
   std::uint64_t WindowAt(WallTime aWallNow) const;
 
   Options mOptions;
