Witnesses for an outage, spread watches, distribution measured

Change: only a peer with the same generation and an unbroken memory of its confirmation is a witness; each watch waits for a random time from half of its bound on; signs of life are kept by zone.

--- a/modules/skylarkchute_bundles/follower/BundleFollower.cpp
+++ b/modules/skylarkchute_bundles/follower/BundleFollower.cpp
@@ -225,6 +225,7 @@
   }
   mCache.Retain(mHead ? std::vector<const BundleHead*>{ &*mHead, &head }
                       : std::vector<const BundleHead*>{ &head });
+  mConfirmation.ForgetWitnesses();
   mHead = head;
   mHeadJson = std::move(mPendingJson);
   mHeadBehind = false;
@@ -251,14 +252,15 @@
   if (aHead.mConfirmedAge) {
     confirmedAt = aSentAt - *aHead.mConfirmedAge;
   }
-  mConfirmation.Hear(aHead.mFrom, confirmedAt, aNow);
+  const auto isWitness = mHead && aHead.mGeneration == mHead->mGeneration && confirmedAt;
+  mConfirmation.Hear(aHead.mFrom, isWitness, confirmedAt, aNow);
   if (aHead.mGeneration > std::max(mKnownNewest, CurrentGeneration())) {
     mKnownNewest = aHead.mGeneration;
     mNewestFrom = aHead.mFrom;
     mAskNewestAt = aNow + kWatchAdvantage;
     return;
   }
-  if (mHead && aHead.mGeneration == mHead->mGeneration && confirmedAt) {
+  if (isWitness) {
     mConfirmation.Confirm(*confirmedAt);
   }
 }
--- a/modules/skylarkchute_bundles/follower/FollowerOptions.h
+++ b/modules/skylarkchute_bundles/follower/FollowerOptions.h
@@ -14,7 +14,7 @@
   ZoneName mZone;
   std::uint64_t mSeed = 0;
   /** Longest wait of one watch; below mFreshness, since its empty answer confirms the head. */
-  std::chrono::milliseconds mWatchWait{ 6000 };
+  std::chrono::milliseconds mWatchWait{ 8000 };
   /** A generation that nobody confirmed for longer needs confirmation. */
   std::chrono::milliseconds mFreshness{ 10000 };
   /** A longer gap between ticks counts as a pause of the process. */
--- a/modules/skylarkchute_bundles/follower/GenerationConfirmation.cpp
+++ b/modules/skylarkchute_bundles/follower/GenerationConfirmation.cpp
@@ -1,7 +1,6 @@
 #include "GenerationConfirmation.h"
 
 #include <algorithm>
-#include <set>
 
 namespace skylarkchute {
 
@@ -16,19 +15,46 @@
   if (paused) {
     mResumedAt = aNow;
     mConfirmedAt.reset();
-    mHeard.clear();
+    ForgetWitnesses();
   }
   return paused;
 }
 
 void GenerationConfirmation::ApplyFleet(const std::vector<FleetMember>& aFleet)
 {
-  mFleet = aFleet;
-  std::erase_if(mHeard, [&](const auto& aEntry) {
-    return std::none_of(aFleet.begin(), aFleet.end(), [&](const FleetMember& aMember) {
-      return aMember.mId == aEntry.first;
-    });
-  });
+  mFleetKnown = true;
+  mZones.clear();
+  mZoneOf.clear();
+  for (const auto& it : aFleet) {
+    if (it.mId != mOptions.mSelf) {
+      mZones[it.mZone].mMembers.push_back(it.mId);
+      mZoneOf[it.mId] = it.mZone;
+    }
+  }
+  std::erase_if(mHeard, [&](const auto& aEntry) { return !mZoneOf.contains(aEntry.first); });
+  for (const auto& [peer, sign] : mHeard) {
+    CountSign(peer, sign);
+  }
+}
+
+void GenerationConfirmation::ForgetWitnesses()
+{
+  mHeard.clear();
+  for (auto& [zone, signs] : mZones) {
+    signs.mWitnessedAt.reset();
+    signs.mConfirmedAt.reset();
+  }
+}
+
+void GenerationConfirmation::CountSign(const InstanceId& aPeer, const SignOfLife& aSign)
+{
+  const auto zone = mZoneOf.find(aPeer);
+  if (zone == mZoneOf.end()) {
+    return;
+  }
+  auto& signs = mZones[zone->second];
+  signs.mWitnessedAt = std::max(signs.mWitnessedAt, aSign.mWitnessedAt);
+  signs.mConfirmedAt = std::max(signs.mConfirmedAt, aSign.mConfirmedAt);
 }
 
 void GenerationConfirmation::Confirm(TimePoint aAt)
@@ -40,17 +66,15 @@
 }
 
 void GenerationConfirmation::Hear(const InstanceId& aPeer,
+                                  bool aIsWitness,
                                   std::optional<TimePoint> aConfirmedAt,
                                   TimePoint aNow)
 {
-  mHeard[aPeer] = { aNow, aConfirmedAt };
-}
-
-const GenerationConfirmation::SignOfLife* GenerationConfirmation::FindSign(
-  const InstanceId& aPeer) const
-{
-  const auto it = mHeard.find(aPeer);
-  return it == mHeard.end() ? nullptr : &it->second;
+  const SignOfLife sign{ aIsWitness ? std::optional(aNow) : std::nullopt, aConfirmedAt };
+  if (mZoneOf.contains(aPeer)) {
+    mHeard[aPeer] = sign;
+    CountSign(aPeer, sign);
+  }
 }
 
 std::vector<InstanceId> GenerationConfirmation::PeersToAsk(std::uint64_t aTurn,
@@ -58,25 +82,13 @@
 {
   const auto age = ConfirmedAge(aNow);
   const auto half = mOptions.mFreshness / 2;
-  if (!mStoreFailing || !mFleet || (age && *age <= half)) {
+  if (!mStoreFailing || (age && *age <= half)) {
     return {};
   }
-  std::map<ZoneName, std::vector<InstanceId>> zones;
-  std::set<ZoneName> heardZones;
-  for (const auto& it : *mFleet) {
-    if (it.mId == mOptions.mSelf) {
-      continue;
-    }
-    zones[it.mZone].push_back(it.mId);
-    const auto* sign = FindSign(it.mId);
-    if (sign && aNow - sign->mAt <= half) {
-      heardZones.insert(it.mZone);
-    }
-  }
   std::vector<InstanceId> peers;
-  for (const auto& [zone, members] : zones) {
-    if (!heardZones.contains(zone)) {
-      peers.push_back(members[aTurn % members.size()]);
+  for (const auto& [zone, signs] : mZones) {
+    if (!signs.mWitnessedAt || aNow - *signs.mWitnessedAt > half) {
+      peers.push_back(signs.mMembers[aTurn % signs.mMembers.size()]);
     }
   }
   return peers;
@@ -110,26 +122,15 @@
 
 bool GenerationConfirmation::IsStoreDownForAll(TimePoint aNow) const
 {
-  if (!mStoreFailing || !mFleet) {
+  if (!mStoreFailing || !mFleetKnown) {
     return false;
   }
-  std::map<ZoneName, bool> heardZones;
-  for (const auto& it : *mFleet) {
-    if (it.mId == mOptions.mSelf) {
-      continue;
-    }
-    auto& heardZone = heardZones[it.mZone];
-    const auto* sign = FindSign(it.mId);
-    if (!sign || aNow - sign->mAt > mOptions.mFreshness) {
-      continue;
-    }
-    if (sign->mConfirmedAt && aNow - *sign->mConfirmedAt <= mOptions.mFreshness) {
-      return false;
-    }
-    heardZone = true;
-  }
-  return std::all_of(
-    heardZones.begin(), heardZones.end(), [](const auto& aEntry) { return aEntry.second; });
+  const auto isFresh = [&](const std::optional<TimePoint>& aAt) {
+    return aAt && aNow - *aAt <= mOptions.mFreshness;
+  };
+  return std::all_of(mZones.begin(), mZones.end(), [&](const auto& aEntry) {
+    return isFresh(aEntry.second.mWitnessedAt) && !isFresh(aEntry.second.mConfirmedAt);
+  });
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_bundles/follower/GenerationConfirmation.h
+++ b/modules/skylarkchute_bundles/follower/GenerationConfirmation.h
@@ -13,8 +13,9 @@
 
     It may while the store, or a peer that passes on what the store said, confirmed it within the
     freshness bound. It also may while the store is down for all: every zone with other instances
-    has one that was heard within the bound, and none of those heard sees the store. An instance
-    that cannot hear some zone cannot tell an outage from being cut off, and needs confirmation. */
+    has a witness that was heard within the bound, and nobody heard sees the store. A witness has
+    the same generation in force and an unbroken memory of its confirmation. An instance that cannot
+    hear some zone cannot tell an outage from being cut off, and needs confirmation. */
 class GenerationConfirmation
 {
 public:
@@ -35,8 +36,15 @@
   void SetStoreFailing(bool aFailing) { mStoreFailing = aFailing; }
 
   /** Takes in a sign of life of a peer.
+      @param aIsWitness    the peer has the generation in force here, and it was once confirmed
       @param aConfirmedAt  when the store last confirmed the peer's generation, if ever */
-  void Hear(const InstanceId& aPeer, std::optional<TimePoint> aConfirmedAt, TimePoint aNow);
+  void Hear(const InstanceId& aPeer,
+            bool aIsWitness,
+            std::optional<TimePoint> aConfirmedAt,
+            TimePoint aNow);
+
+  /** Forgets what was heard, since another generation is in force. */
+  void ForgetWitnesses();
 
   /** Returns how long ago the generation was confirmed, or nothing. */
   std::optional<std::chrono::milliseconds> ConfirmedAge(TimePoint aNow) const;
@@ -45,8 +53,9 @@
       @param aNewerKnown  a newer generation exists, so that an outage is no excuse */
   bool IsNeeded(bool aNewerKnown, TimePoint aNow) const;
 
-  /** Returns one instance of each zone that was not heard for half of the freshness bound, while
-      the store fails and the last confirmation is as old; they should be asked for their heads.
+  /** Returns one instance of each zone without a witness heard within half of the freshness bound,
+     while the store fails and the last confirmation is as old; they should be asked for their
+     heads.
       @param aTurn  chooses among the instances of a zone */
   std::vector<InstanceId> PeersToAsk(std::uint64_t aTurn, TimePoint aNow) const;
 
@@ -59,19 +68,29 @@
 private:
   struct SignOfLife
   {
-    TimePoint mAt;
+    std::optional<TimePoint> mWitnessedAt;
+    std::optional<TimePoint> mConfirmedAt;
+  };
+
+  /** The other instances of one zone, and the latest signs of life of any of them. */
+  struct ZoneSigns
+  {
+    std::vector<InstanceId> mMembers;
+    std::optional<TimePoint> mWitnessedAt;
     std::optional<TimePoint> mConfirmedAt;
   };
 
   bool IsStoreDownForAll(TimePoint aNow) const;
-  const SignOfLife* FindSign(const InstanceId& aPeer) const;
+  void CountSign(const InstanceId& aPeer, const SignOfLife& aSign);
 
   FollowerOptions mOptions;
   std::optional<TimePoint> mLastTick;
   std::optional<TimePoint> mResumedAt;
   std::optional<TimePoint> mConfirmedAt;
   bool mStoreFailing = false;
-  std::optional<std::vector<FleetMember>> mFleet;
+  bool mFleetKnown = false;
+  std::map<ZoneName, ZoneSigns> mZones;
+  std::map<InstanceId, ZoneName> mZoneOf;
   std::map<InstanceId, SignOfLife> mHeard;
 };
 
--- a/modules/skylarkchute_bundles/watch/PrefixWatch.cpp
+++ b/modules/skylarkchute_bundles/watch/PrefixWatch.cpp
@@ -29,8 +29,10 @@
   call.mTimeout = mOptions.mCallTimeout;
   mCallIsWatch = mPosition.has_value();
   if (mCallIsWatch) {
-    call.mOperation = WatchObjects{ mOptions.mPrefix, *mPosition, mOptions.mWait };
-    call.mTimeout += mOptions.mWait;
+    // Waits of different length keep the watches of a fleet from ending together.
+    const auto wait = mOptions.mWait / 2 + mDelay.Uniform(mOptions.mWait / 2);
+    call.mOperation = WatchObjects{ mOptions.mPrefix, *mPosition, wait };
+    call.mTimeout += wait;
   } else {
     call.mOperation = ListObjects{ mOptions.mPrefix };
   }
--- a/modules/skylarkchute_bundles/watch/WatchOptions.h
+++ b/modules/skylarkchute_bundles/watch/WatchOptions.h
@@ -14,8 +14,8 @@
   std::string mPrefix;
   CallPurpose mPurpose = CallPurpose::Bundle;
   std::uint64_t mSeed = 0;
-  /** Longest wait of one watch. */
-  std::chrono::milliseconds mWait{ 6000 };
+  /** Longest wait of one watch; each waits for a random time from half of it on. */
+  std::chrono::milliseconds mWait{ 8000 };
   /** A watch is armed again after a random delay up to this. */
   std::chrono::milliseconds mRearmJitter{ 250 };
   /** Delay after a first failed call, doubled for each further one up to mRetryMost. */
