--- a/app/serve/ServeRuntime.cpp
+++ b/app/serve/ServeRuntime.cpp
@@ -201,8 +201,10 @@
   const bool whole = mEntry->WaitForSessions(mSettings.mShutdown.mGrace);
   mDrained = false;
   mLoop.Post([](Node& aNode, NodeTime aTime) {
-    aNode.BeginLeaving();
-    return aNode.Flush(aTime);
+    auto actions = aNode.BeginLeaving(aTime);
+    const auto flush = aNode.Flush(aTime);
+    actions.insert(actions.end(), flush.begin(), flush.end());
+    return actions;
   });
   const auto giveUp = mClock.Now() + kFlushTimeout;
   while (!mDrained && mClock.Now() < giveUp) {
--- a/modules/skylarkchute_bundles/evidence/VersionVerdict.h
+++ b/modules/skylarkchute_bundles/evidence/VersionVerdict.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <skylarkchute_core/skylarkchute_core.h>
+
 #include <string>
 
 namespace skylarkchute {
@@ -20,4 +22,11 @@
   friend bool operator==(const VersionVerdict&, const VersionVerdict&) = default;
 };
 
+/** What one instance's test says of the new version of a roll. */
+struct RollVerdict
+{
+  RollName mRoll;
+  VersionVerdict mVerdict;
+};
+
 } // namespace skylarkchute
--- a/modules/skylarkchute_node/Node.cpp
+++ b/modules/skylarkchute_node/Node.cpp
@@ -5,10 +5,12 @@
 #include "requests/Refusals.h"
 #include "state/NodePass.h"
 #include "systems/BundleSystem.h"
+#include "systems/FleetSystem.h"
 #include "systems/KeySystem.h"
 #include "systems/LedgerSystem.h"
 #include "systems/RequestSystem.h"
 #include "systems/RightSystem.h"
+#include "systems/RollSystem.h"
 
 namespace skylarkchute {
 
@@ -20,8 +22,10 @@
     , mLedger(mParts)
     , mRights(mParts, mLedger)
     , mRequests(mParts, mLedger, mRights)
-    , mBundles(mParts, mRequests)
     , mKeys(mParts)
+    , mRolls(mParts)
+    , mFleet(mParts, mLedger, mKeys)
+    , mBundles(mParts, mRequests, mRolls, mFleet)
   {
     mLedger.Connect(mRequests);
     mRights.Connect(mRequests);
@@ -30,6 +34,7 @@
   void StoreReplied(StoreUser aUser, const ObjectReply& aReply, NodePass& aPass);
   void PeerReplied(const PeerCallTable::Origin& aOrigin, const PeerReply& aReply, NodePass& aPass);
   std::optional<std::string> AnswerPeer(std::uint64_t aToken,
+                                        const InstanceId& aFrom,
                                         const std::string& aMethod,
                                         const std::string& aMessage,
                                         NodePass& aPass);
@@ -39,8 +44,10 @@
   LedgerSystem mLedger;
   RightSystem mRights;
   RequestSystem mRequests;
-  BundleSystem mBundles;
   KeySystem mKeys;
+  RollSystem mRolls;
+  FleetSystem mFleet;
+  BundleSystem mBundles;
 };
 
 void Node::State::StoreReplied(StoreUser aUser, const ObjectReply& aReply, NodePass& aPass)
@@ -59,6 +66,7 @@
       mKeys.StoreReplied(aReply, aPass);
       break;
     case StoreUser::Rolls:
+      mRolls.StoreReplied(aReply, aPass);
       break;
   }
 }
@@ -67,6 +75,7 @@
                               const PeerReply& aReply,
                               NodePass& aPass)
 {
+  mFleet.Observe(aReply, aPass);
   const auto envelope =
     aReply.mOk ? ReadEnvelope(aReply.mFrom, aReply.mResult) : std::optional<PeerEnvelope>();
   std::optional<std::string> message;
@@ -87,13 +96,22 @@
       mRights.IssuerReplied(aOrigin.mRequest, message, aPass);
       break;
     case PeerPurpose::Evidence:
-    case PeerPurpose::Alert:
+    case PeerPurpose::Quota:
+      mFleet.PeerReplied(aOrigin.mPurpose,
+                         { aOrigin.mLocalId,
+                           aReply.mFrom,
+                           aReply.mVerdict,
+                           message.has_value(),
+                           message.value_or("") },
+                         aPass);
+      break;
     case PeerPurpose::Notice:
       break;
   }
 }
 
 std::optional<std::string> Node::State::AnswerPeer(std::uint64_t aToken,
+                                                   const InstanceId& aFrom,
                                                    const std::string& aMethod,
                                                    const std::string& aMessage,
                                                    NodePass& aPass)
@@ -122,12 +140,13 @@
   if (aMethod == kTicketFinishMethod) {
     return mRights.AnswerTicketFinish(aMessage);
   }
-  return std::string("{}");
+  return mFleet.Answer(aFrom, aMethod, aMessage, aPass);
 }
 
 void Node::State::TakeReports(NodePass& aPass)
 {
   const auto reports = mParts.mRouter.TakeReports(aPass.Now());
+  mFleet.TakeReports(reports, aPass);
   aPass.AddEvents(reports.mEvents);
   for (const auto& it : reports.mRatingWishes) {
     const auto record = mParts.mRequests.find(it.mRequest);
@@ -217,7 +236,9 @@
     return pass.Take();
   }
   mState->mBundles.Take(mState->mParts.mFollower.OnPeerHead(envelope->mHead, aTime.mNow), pass);
-  if (const auto answer = mState->AnswerPeer(aToken, aMethod, envelope->mMessage, pass)) {
+  mState->mFleet.Heard(aFrom, pass);
+  const auto answer = mState->AnswerPeer(aToken, aFrom, aMethod, envelope->mMessage, pass);
+  if (answer) {
     pass.AddPeerAnswer(aToken, *answer);
   }
   return pass.Take();
@@ -229,17 +250,7 @@
 {
   NodePass pass(mState->mParts, aTime);
   mState->mParts.mRouter.ApplyEndpoints(aEndpoints, aTime.mNow);
-  std::vector<FleetMember> fleet;
-  std::vector<InstanceId> members;
-  for (const auto& it : aPeers) {
-    fleet.push_back({ it.mId, it.mZone });
-    members.push_back(it.mId);
-  }
-  mState->mParts.mFollower.ApplyFleet(fleet);
-  if (!members.empty()) {
-    mState->mKeys.SetMembers(std::move(members));
-  }
-  mState->mLedger.SetPeers(aPeers, pass);
+  mState->mFleet.ApplyList(aPeers, pass);
   return pass.Take();
 }
 
@@ -251,9 +262,17 @@
 
 NodeActions Node::OnRating(const RateAction& aRated, double aRating, NodeTime aTime)
 {
-  mState->mParts.mRouter.ReportRating(
-    aRated.mWish.mVersion, aRated.mClass, aRated.mTeam, aRating, aTime.mNow);
-  return {};
+  NodePass pass(mState->mParts, aTime);
+  const auto& wish = aRated.mWish;
+  auto& router = mState->mParts.mRouter;
+  if (wish.mHeld) {
+    mState->mRequests.TakeSteps(
+      router.ReportHeldRating(wish.mRequest, wish.mAttempt, aRating, aTime.mNow), pass);
+  } else {
+    router.ReportRating(wish.mVersion, aRated.mClass, aRated.mTeam, aRating, aTime.mNow);
+  }
+  mState->TakeReports(pass);
+  return pass.Take();
 }
 
 NodeActions Node::Tick(NodeTime aTime)
@@ -264,12 +283,17 @@
   mState->mLedger.Tick(pass);
   mState->mKeys.Tick(pass);
   mState->TakeReports(pass);
+  mState->mRolls.Tick(pass);
+  mState->mFleet.Tick(pass);
   return pass.Take();
 }
 
-void Node::BeginLeaving()
+NodeActions Node::BeginLeaving(NodeTime aTime)
 {
+  NodePass pass(mState->mParts, aTime);
   mState->mParts.mLeaving = true;
+  mState->mFleet.SayGoodbye(pass);
+  return pass.Take();
 }
 
 NodeActions Node::Flush(NodeTime aTime)
@@ -341,6 +365,7 @@
   if (const auto& head = parts.mFollower.Head()) {
     status["bundle"] = head->mBundle.Value();
   }
+  status["rolls"] = mState->mRolls.StatusJson();
   status["limits"] = Json::Value(Json::arrayValue);
   for (const auto& it : parts.mRouter.Demand(aTime.mNow)) {
     Json::Value limit(Json::objectValue);
--- a/modules/skylarkchute_node/Node.h
+++ b/modules/skylarkchute_node/Node.h
@@ -68,8 +68,8 @@
   /** Drives every time limit. Call every 10 to 50 ms. */
   NodeActions Tick(NodeTime aTime);
 
-  /** Takes no more requests; those under way go on. */
-  void BeginLeaving();
+  /** Takes no more requests and says goodbye to peers; requests under way go on. */
+  NodeActions BeginLeaving(NodeTime aTime);
 
   /** Writes every usage record out. Call when no request is under way. */
   NodeActions Flush(NodeTime aTime);
--- a/modules/skylarkchute_node/peers/PeerCallTable.h
+++ b/modules/skylarkchute_node/peers/PeerCallTable.h
@@ -16,7 +16,7 @@
   BundleParts,
   UsageBackup,
   Evidence,
-  Alert,
+  Quota,
   TicketForward,
   Notice, /**< Needs no reply. */
 };
@@ -27,7 +27,7 @@
 public:
   struct Origin
   {
-    PeerPurpose mPurpose = PeerPurpose::Alert;
+    PeerPurpose mPurpose = PeerPurpose::Notice;
     std::uint64_t mLocalId = 0; /**< Chosen by the component that asked. */
     RequestId mRequest;         /**< Of a TicketForward. */
   };
--- a/modules/skylarkchute_node/peers/PeerMethods.h
+++ b/modules/skylarkchute_node/peers/PeerMethods.h
@@ -15,8 +15,9 @@
 /** Returns every method that an instance serves. */
 inline std::vector<std::string> PeerMethods()
 {
-  return { kRegisterWriteMethod, kClaimOutcomeMethod, kBundlePartsMethod, kUsageBackupMethod,
-           kUsageDropMethod,     kTicketAcceptMethod, kTicketFinishMethod };
+  return { kRegisterWriteMethod, kClaimOutcomeMethod, kBundlePartsMethod,  kUsageBackupMethod,
+           kUsageDropMethod,     kTicketAcceptMethod, kTicketFinishMethod, kEvidenceUpMethod,
+           kEvidenceDownMethod,  kAlertSpreadMethod,  kQuotaDemandMethod,  kPeerGoodbyeMethod };
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_node/state/NodeParts.cpp
+++ b/modules/skylarkchute_node/state/NodeParts.cpp
@@ -57,6 +57,38 @@
   return options;
 }
 
+RollDriverOptions RollOptionsOf(const NodeOptions& aOptions)
+{
+  RollDriverOptions options;
+  options.mSelf = aOptions.mInstance;
+  options.mSeed = aOptions.mSeed;
+  return options;
+}
+
+Membership::Options MembershipOptionsOf(const NodeOptions& aOptions)
+{
+  Membership::Options options;
+  options.mSelf.mId = aOptions.mInstance;
+  options.mSelf.mZone = aOptions.mZone;
+  return options;
+}
+
+EvidenceTree::Options EvidenceOptionsOf(const NodeOptions& aOptions)
+{
+  EvidenceTree::Options options;
+  options.mSelf = aOptions.mInstance;
+  options.mZone = aOptions.mZone;
+  return options;
+}
+
+AlertSpreader::Options AlertOptionsOf(const NodeOptions& aOptions)
+{
+  AlertSpreader::Options options;
+  options.mSelf = aOptions.mInstance;
+  options.mSeed = static_cast<std::uint32_t>(aOptions.mSeed);
+  return options;
+}
+
 } // namespace
 
 NodeParts::NodeParts(NodeOptions aOptions)
@@ -68,6 +100,11 @@
   , mPins(PinDesk::Options{})
   , mTickets(TicketOptionsOf(mOptions), KeyRing())
   , mUsage(UsageOptionsOf(mOptions))
+  , mRolls(RollOptionsOf(mOptions))
+  , mMembership(MembershipOptionsOf(mOptions))
+  , mEvidence(EvidenceOptionsOf(mOptions))
+  , mAlerts(AlertOptionsOf(mOptions))
+  , mQuota(mOptions.mInstance, QuotaOptions{})
 {
 }
 
--- a/modules/skylarkchute_node/state/NodeParts.h
+++ b/modules/skylarkchute_node/state/NodeParts.h
@@ -6,6 +6,7 @@
 #include "NodeOptions.h"
 
 #include <skylarkchute_ledger/skylarkchute_ledger.h>
+#include <skylarkchute_peers/skylarkchute_peers.h>
 #include <skylarkchute_routing/skylarkchute_routing.h>
 
 #include <unordered_map>
@@ -27,6 +28,11 @@
   SessionTokens mTokens;
   TicketOffice mTickets;
   UsageLedger mUsage;
+  RollDriver mRolls;
+  Membership mMembership;
+  EvidenceTree mEvidence;
+  AlertSpreader mAlerts;
+  QuotaShares mQuota;
   StoreCallTable mStoreCalls;
   PeerCallTable mPeerCalls;
   std::unordered_map<RequestId, RequestRecord> mRequests;
--- a/modules/skylarkchute_node/systems/BundleSystem.cpp
+++ b/modules/skylarkchute_node/systems/BundleSystem.cpp
@@ -1,7 +1,9 @@
 #include "BundleSystem.h"
 
 #include "../peers/PeerMethods.h"
+#include "FleetSystem.h"
 #include "RequestSystem.h"
+#include "RollSystem.h"
 
 namespace skylarkchute {
 
@@ -13,9 +15,14 @@
 
 } // namespace
 
-BundleSystem::BundleSystem(NodeParts& aParts, RequestSystem& aRequests)
+BundleSystem::BundleSystem(NodeParts& aParts,
+                           RequestSystem& aRequests,
+                           RollSystem& aRolls,
+                           FleetSystem& aFleet)
   : mParts(aParts)
   , mRequests(aRequests)
+  , mRolls(aRolls)
+  , mFleet(aFleet)
 {
 }
 
@@ -34,6 +41,8 @@
     return;
   }
   mRequests.TakeSteps(mParts.mRouter.ApplyBundle(mParts.mFollower.Current(), aPass.Now()), aPass);
+  mRolls.ApplyBundle(aPass);
+  mFleet.ApplyBundle();
 }
 
 void BundleSystem::PeerReplied(std::uint64_t aLocalId,
--- a/modules/skylarkchute_node/systems/BundleSystem.h
+++ b/modules/skylarkchute_node/systems/BundleSystem.h
@@ -4,13 +4,18 @@
 
 namespace skylarkchute {
 
+class FleetSystem;
 class RequestSystem;
+class RollSystem;
 
 /** Keeps the follower and the router in step and serves bundle parts to peers. */
 class BundleSystem
 {
 public:
-  BundleSystem(NodeParts& aParts, RequestSystem& aRequests);
+  BundleSystem(NodeParts& aParts,
+               RequestSystem& aRequests,
+               RollSystem& aRolls,
+               FleetSystem& aFleet);
 
   /** Carries out what the follower wants done. */
   void Take(const FollowerOutput& aOutput, NodePass& aPass);
@@ -28,6 +33,8 @@
 private:
   NodeParts& mParts;
   RequestSystem& mRequests;
+  RollSystem& mRolls;
+  FleetSystem& mFleet;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_peers/alerts/AlertSpreader.cpp
+++ b/modules/skylarkchute_peers/alerts/AlertSpreader.cpp
@@ -17,7 +17,8 @@
 {
   const auto version = aAlert.mVersion ? aAlert.mVersion->Value() : std::string();
   const auto suspect = aAlert.mSuspect ? aAlert.mSuspect->Value() : std::string();
-  return version + "\n" + suspect + "\n" + std::to_string(aAlert.mCrashCount);
+  const auto endpoint = aAlert.mCrashedEndpoint.value_or(EndpointId()).Value();
+  return version + "\n" + suspect + "\n" + std::to_string(aAlert.mCrashCount) + "\n" + endpoint;
 }
 
 } // namespace
@@ -29,6 +30,7 @@
   json["origin"] = aMessage.mOrigin.Value();
   json["version"] = alert.mVersion ? alert.mVersion->Value() : std::string();
   json["suspect"] = alert.mSuspect ? alert.mSuspect->Value() : std::string();
+  json["endpoint"] = alert.mCrashedEndpoint.value_or(EndpointId()).Value();
   json["crashes"] = Json::UInt64(alert.mCrashCount);
   json["reason"] = alert.mReason;
   return WriteJson(json);
@@ -41,6 +43,7 @@
   message.mOrigin = InstanceId(json.Text("origin"));
   const auto version = json.Text("version");
   const auto suspect = json.Text("suspect");
+  const auto endpoint = json.Text("endpoint");
   message.mAlert.mCrashCount = static_cast<std::uint32_t>(json.Count("crashes"));
   message.mAlert.mReason = json.Text("reason");
   if (!json.IsValid() || (version.empty() && suspect.empty())) {
@@ -49,6 +52,9 @@
   if (!version.empty()) {
     message.mAlert.mVersion = VersionId(version);
   }
+  if (!endpoint.empty()) {
+    message.mAlert.mCrashedEndpoint = EndpointId(endpoint);
+  }
   if (!suspect.empty()) {
     message.mAlert.mSuspect = Fingerprint(suspect);
   }
--- a/modules/skylarkchute_routing/Router.cpp
+++ b/modules/skylarkchute_routing/Router.cpp
@@ -191,6 +191,11 @@
   return reports;
 }
 
+std::vector<RollVerdict> Router::RollVerdicts() const
+{
+  return mState->mHealth.Verdicts();
+}
+
 std::vector<TeamDemand> Router::Demand(TimePoint aNow) const
 {
   return mState->mLimits.Demand(aNow);
--- a/modules/skylarkchute_routing/Router.h
+++ b/modules/skylarkchute_routing/Router.h
@@ -105,6 +105,9 @@
   /** Returns the counters since start. */
   const RouterCounters& Counters() const;
 
+  /** Returns what this instance's tests say of each roll of the bundle in force. */
+  std::vector<RollVerdict> RollVerdicts() const;
+
   /** Returns the demand of each team over the last window. */
   std::vector<TeamDemand> Demand(TimePoint aNow) const;
 
--- a/modules/skylarkchute_routing/systems/HealthSystem.cpp
+++ b/modules/skylarkchute_routing/systems/HealthSystem.cpp
@@ -80,6 +80,22 @@
   return true;
 }
 
+std::vector<RollVerdict> HealthSystem::Verdicts() const
+{
+  std::vector<RollVerdict> verdicts;
+  for (const auto& [name, roll] : mRolls) {
+    const auto verdict = roll.mHealth.Verdict();
+    auto condition = VersionCondition::Undecided;
+    if (verdict.mState == HealthState::Bad) {
+      condition = VersionCondition::Bad;
+    } else if (verdict.mState == HealthState::Healthy) {
+      condition = VersionCondition::Healthy;
+    }
+    verdicts.push_back({ name, { condition, verdict.Reason() } });
+  }
+  return verdicts;
+}
+
 std::vector<HealthSystem::BadVersion> HealthSystem::Bad() const
 {
   std::vector<BadVersion> bad;
--- a/modules/skylarkchute_routing/systems/HealthSystem.h
+++ b/modules/skylarkchute_routing/systems/HealthSystem.h
@@ -47,6 +47,9 @@
   /** Returns the versions that count as bad. */
   std::vector<BadVersion> Bad() const;
 
+  /** Returns the verdict on each roll of the bundle in force. */
+  std::vector<RollVerdict> Verdicts() const;
+
 private:
   struct Roll
   {
