--- a/modules/skylarkchute_ledger/usage/UsageLedger.cpp
+++ b/modules/skylarkchute_ledger/usage/UsageLedger.cpp
@@ -226,7 +226,7 @@
   }
 }
 
-void UsageLedger::WriteHeld(HeldKey aKey, Held& aHeld)
+void UsageLedger::WriteHeld(const HeldKey& aKey, Held& aHeld)
 {
   if (std::exchange(aHeld.mWriting, true) || aHeld.mRecords.empty()) {
     return;
--- a/modules/skylarkchute_ledger/usage/UsageLedger.h
+++ b/modules/skylarkchute_ledger/usage/UsageLedger.h
@@ -131,7 +131,7 @@
   void SendBackup(TimePoint aNow, UsageOutput& aOutput);
   void ClearHolders(const std::set<InstanceId>& aKept);
   void ReportUnprotected(TimePoint aNow, UsageOutput& aOutput);
-  void WriteHeld(HeldKey aKey, Held& aHeld);
+  void WriteHeld(const HeldKey& aKey, Held& aHeld);
   void OnOwnWritten(const WrittenBatch& aWritten, TimePoint aNow, UsageOutput& aOutput);
   void OnHeldWritten(const WrittenBatch& aWritten, TimePoint aNow, UsageOutput& aOutput);
   void Take(BatchWriterOutput aWriter, TimePoint aNow, UsageOutput& aOutput);
