Shard chains keep hashes of sealed registers instead of whole ones

Cause: an instance kept every register of its shards whole until it expired. Change: an index of hashes by segment; a hit reads the segment, eight of which stay in memory.

--- a/modules/skylarkchute_ledger/registers/ShardChain.cpp
+++ b/modules/skylarkchute_ledger/registers/ShardChain.cpp
@@ -150,6 +150,11 @@
     Send(Step::FetchSegment, GetObject{ SegmentKey(mFetching) }, aOutput);
     return true;
   }
+  if (mWanted) {
+    mFetching = *mWanted;
+    Send(Step::FetchSegment, GetObject{ SegmentKey(mFetching) }, aOutput);
+    return true;
+  }
   return false;
 }
 
--- a/modules/skylarkchute_ledger/registers/ShardChain.h
+++ b/modules/skylarkchute_ledger/registers/ShardChain.h
@@ -51,7 +51,7 @@
   TimePoint LastUse() const { return mLastUse; }
 
   /** Returns the number of registers held in memory. */
-  std::size_t RegisterCount() const { return mKnown.size(); }
+  std::size_t RegisterCount() const { return mSealedIndex.size() + mHeadIndex.size(); }
 
 private:
   enum class Step
@@ -77,19 +77,30 @@
     TimePoint mGiveUpAt;
   };
 
-  struct KnownRegister
+  enum class LookupResult
   {
-    RegisterWrite mRegister;
-    std::uint64_t mSegment = 0;
+    Absent,
+    Found,
+    NeedsSegment, /**< A sealed segment that is not in memory may hold it. */
   };
 
+  /** Where a register was found. */
+  struct Lookup
+  {
+    LookupResult mResult = LookupResult::Absent;
+    const RegisterWrite* mRegister = nullptr; /**< After Found. */
+    std::uint64_t mSegment = 0;               /**< After NeedsSegment. */
+  };
+
+  using Registers = std::vector<RegisterWrite>;
+
   std::string HeadKey() const;
   std::string SegmentKey(std::uint64_t aNumber) const;
   bool IsExpired(const RegisterWrite& aRegister, WallTime aWallNow) const;
-  void Learn(const RegisterWrite& aRegister, std::uint64_t aSegment);
+  Lookup Find(const std::string& aKey) const;
   void LearnSegment(std::uint64_t aNumber, const std::vector<RegisterWrite>& aRegisters);
   void LearnHead(const ShardHead& aHead, const ObjectVersion& aVersion);
-  bool Answer(const Pending& aPending, WallTime aWallNow, ShardOutput& aOutput) const;
+  bool Answer(const Pending& aPending, WallTime aWallNow, ShardOutput& aOutput);
   void AnswerKnown(WallTime aWallNow, ShardOutput& aOutput);
   void SettleUncertain();
   void MarkLook();
@@ -129,7 +140,13 @@
   bool mOwesCopy = false;      /**< This instance sealed the head and copies it at once. */
   /** Expiry of the last register of each sealed segment in memory, by number. */
   std::map<std::uint64_t, WallTime> mSegments;
-  std::unordered_map<std::string, KnownRegister> mKnown;
+  /** Position in mHead of each register there. */
+  std::unordered_map<std::string, std::size_t> mHeadIndex;
+  /** Segments of each sealed register, by the hash of its key. */
+  std::unordered_multimap<std::uint64_t, std::uint64_t> mSealedIndex;
+  std::map<std::uint64_t, Registers> mCache; /**< Some sealed segments. */
+  std::deque<std::uint64_t> mCacheOrder;     /**< Oldest first. */
+  std::optional<std::uint64_t> mWanted;      /**< Segment that a queued write or read needs. */
 
   ShardHead mProposed;         /**< Body of the commit under way. */
   std::uint64_t mFetching = 0; /**< Segment of the fetch under way. */
--- a/modules/skylarkchute_ledger/registers/ShardChainState.cpp
+++ b/modules/skylarkchute_ledger/registers/ShardChainState.cpp
@@ -1,28 +1,61 @@
 #include "ShardChain.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace skylarkchute {
 
-void ShardChain::Learn(const RegisterWrite& aRegister, std::uint64_t aSegment)
+namespace {
+
+/** Sealed segments that a shard keeps in memory whole. */
+constexpr std::size_t kCachedSegments = 8;
+
+} // namespace
+
+ShardChain::Lookup ShardChain::Find(const std::string& aKey) const
 {
-  const auto it = mKnown.find(aRegister.mKey);
-  if (it == mKnown.end()) {
-    mKnown.emplace(aRegister.mKey, KnownRegister{ aRegister, aSegment });
-  } else if (aSegment >= it->second.mSegment) {
-    // A key may stand twice in a chain once its first register has expired.
-    it->second = KnownRegister{ aRegister, aSegment };
+  const auto inHead = mHeadIndex.find(aKey);
+  if (inHead != mHeadIndex.end()) {
+    return { LookupResult::Found, &mHead.mRegisters[inHead->second], 0 };
   }
+  const auto range = mSealedIndex.equal_range(StableHash(aKey));
+  Lookup newest;
+  std::uint64_t newestSegment = 0;
+  for (auto it = range.first; it != range.second; ++it) {
+    const auto cached = mCache.find(it->second);
+    if (cached == mCache.end()) {
+      return { LookupResult::NeedsSegment, nullptr, it->second };
+    }
+    // A key may stand in two segments once its first register has expired.
+    for (const auto& entry : cached->second) {
+      if (entry.mKey == aKey && it->second >= newestSegment) {
+        newest = { LookupResult::Found, &entry, 0 };
+        newestSegment = it->second;
+      }
+    }
+  }
+  return newest;
 }
 
-void ShardChain::LearnSegment(std::uint64_t aNumber, const std::vector<RegisterWrite>& aRegisters)
+void ShardChain::LearnSegment(std::uint64_t aNumber, const Registers& aRegisters)
 {
-  WallTime last{};
-  for (const auto& it : aRegisters) {
-    Learn(it, aNumber);
-    last = std::max(last, it.mExpires);
+  assert(aNumber >= mHead.mFirst);
+  if (mSegments.count(aNumber) == 0) {
+    WallTime last{};
+    for (const auto& it : aRegisters) {
+      mSealedIndex.emplace(StableHash(it.mKey), aNumber);
+      last = std::max(last, it.mExpires);
+    }
+    mSegments[aNumber] = last;
+  }
+  if (!mCache.insert_or_assign(aNumber, aRegisters).second) {
+    return;
+  }
+  mCacheOrder.push_back(aNumber);
+  if (mCacheOrder.size() > kCachedSegments) {
+    mCache.erase(mCacheOrder.front());
+    mCacheOrder.pop_front();
   }
-  mSegments[aNumber] = last;
 }
 
 void ShardChain::LearnHead(const ShardHead& aHead, const ObjectVersion& aVersion)
@@ -32,23 +65,28 @@
   }
   mSegmentCopied = mSegmentCopied && aHead.mSealed && aHead.mNumber == mHead.mNumber;
   mOwesCopy = mOwesCopy && aHead.mSealed && aHead.mNumber == mHead.mNumber;
-  for (const auto& it : aHead.mRegisters) {
-    Learn(it, aHead.mNumber);
-  }
   const bool moved = aHead.mFirst > mHead.mFirst;
   mHead = aHead;
   mHeadVersion = aVersion;
+  mHeadIndex.clear();
+  for (std::size_t n = 0; n < mHead.mRegisters.size(); ++n) {
+    mHeadIndex[mHead.mRegisters[n].mKey] = n;
+  }
   if (moved) {
     ForgetExpired();
   }
 }
 
-bool ShardChain::Answer(const Pending& aPending, WallTime aWallNow, ShardOutput& aOutput) const
+bool ShardChain::Answer(const Pending& aPending, WallTime aWallNow, ShardOutput& aOutput)
 {
-  const auto it = mKnown.find(aPending.mWrite.mKey);
-  const bool known = it != mKnown.end() && !IsExpired(it->second.mRegister, aWallNow);
-  if (known) {
-    const auto& value = it->second.mRegister.mValue;
+  const auto lookup = Find(aPending.mWrite.mKey);
+  if (lookup.mResult == LookupResult::NeedsSegment) {
+    mWanted = lookup.mSegment;
+    return false;
+  }
+  const bool found = lookup.mResult == LookupResult::Found;
+  if (found && !IsExpired(*lookup.mRegister, aWallNow)) {
+    const auto& value = lookup.mRegister->mValue;
     const bool ours = !aPending.mReadOnly && value == aPending.mWrite.mValue;
     aOutput.mOutcomes.push_back(
       { aPending.mTicket, ours ? RegisterResult::Won : RegisterResult::Lost, value });
@@ -63,6 +101,7 @@
 
 void ShardChain::AnswerKnown(WallTime aWallNow, ShardOutput& aOutput)
 {
+  mWanted.reset();
   std::deque<Pending> kept;
   for (auto& it : mPending) {
     if (!Answer(it, aWallNow, aOutput)) {
@@ -80,7 +119,7 @@
   // The head has moved past the base of the lost commit, which can no longer take effect.
   mCommitUncertain = false;
   for (auto& it : mPending) {
-    it.mUncertain = it.mUncertain && mKnown.count(it.mWrite.mKey) != 0;
+    it.mUncertain = it.mUncertain && Find(it.mWrite.mKey).mResult != LookupResult::Absent;
   }
 }
 
@@ -130,8 +169,8 @@
 void ShardChain::ForgetExpired()
 {
   mSegments.erase(mSegments.begin(), mSegments.lower_bound(mHead.mFirst));
-  for (auto it = mKnown.begin(); it != mKnown.end();) {
-    it = it->second.mSegment < mHead.mFirst ? mKnown.erase(it) : std::next(it);
+  for (auto it = mSealedIndex.begin(); it != mSealedIndex.end();) {
+    it = it->second < mHead.mFirst ? mSealedIndex.erase(it) : std::next(it);
   }
 }
 
--- a/tests/skylarkchute_ledger/RegisterTests.cpp
+++ b/tests/skylarkchute_ledger/RegisterTests.cpp
@@ -403,3 +403,20 @@
   fleet.Run(50ms);
   CHECK(fleet.Outcome(1)->mResult == RegisterResult::NotWritten);
 }
+
+TEST_CASE("a register in a segment that has left memory is read again before it is answered")
+{
+  Fleet fleet(Kind::Sharded, 1, 1, {});
+  for (int n = 0; n < 200; ++n) {
+    fleet.Write(0, static_cast<std::uint64_t>(n + 1), MakeWrite(fleet, std::to_string(n), "first"));
+    fleet.Run(10ms);
+  }
+  fleet.Run(100ms);
+  for (int n = 0; n < 200; ++n) {
+    const auto ticket = static_cast<std::uint64_t>(1000 + n);
+    fleet.Write(0, ticket, MakeWrite(fleet, std::to_string(n), "second"));
+    fleet.Run(20ms);
+    REQUIRE(fleet.Outcome(ticket)->mResult == RegisterResult::Lost);
+    REQUIRE(fleet.Outcome(ticket)->mValue == "first");
+  }
+}
