Copy the due time out of the poll table before waiting

Cause: a wait held a reference into the table of polls, which SetEndpoints replaces; the address sanitizer reported a use after free. Change: the time is copied; a test replaces the set while the poller waits.

--- a/modules/skylarkchute_endpoints/load/LoadPoller.cpp
+++ b/modules/skylarkchute_endpoints/load/LoadPoller.cpp
@@ -63,8 +63,10 @@
       mChanged.wait(lock);
       continue;
     }
-    if (mClock.Now() < next->mDue) {
-      mChanged.wait_until(lock, next->mDue);
+    // The set may be replaced during the wait, so the time is copied out of it.
+    const auto due = next->mDue;
+    if (mClock.Now() < due) {
+      mChanged.wait_until(lock, due);
       continue;
     }
     next->mRunning = true;
--- a/tests/skylarkchute_endpoints/LoadPollerTests.cpp
+++ b/tests/skylarkchute_endpoints/LoadPollerTests.cpp
@@ -108,3 +108,19 @@
   loads->WaitUntil([&] { return loads->mReports[kept] > keptBefore + 5; });
   CHECK(loads->Count(loads->mReports, gone) <= before + 1);
 }
+
+TEST_CASE("the set may be replaced while the poller waits for a poll to be due")
+{
+  const EngineStandIn engine(EngineOptions());
+  const auto loads = std::make_shared<RecordingLoads>();
+  LoadPoller poller(QuickOptions(), loads);
+  const EndpointId kept("kept");
+  for (int n = 0; n < 200; ++n) {
+    poller.SetEndpoints({ Record("kept", engine.Port()) });
+    poller.SetEndpoints({ Record("other-" + std::to_string(n), engine.Port()) });
+  }
+  poller.SetEndpoints({ Record("kept", engine.Port()) });
+  const auto before = loads->Count(loads->mReports, kept);
+  loads->WaitUntil([&] { return loads->mReports[kept] > before + 3; });
+  CHECK(loads->Count(loads->mMissing, kept) == 0);
+}
