--- a/app/serve/NodeLoop.cpp
+++ b/app/serve/NodeLoop.cpp
@@ -14,6 +14,11 @@
 }
 
 NodeLoop::~NodeLoop()
+{
+  Stop();
+}
+
+void NodeLoop::Stop()
 {
   {
     const std::lock_guard lock(mMutex);
--- a/app/serve/NodeLoop.h
+++ b/app/serve/NodeLoop.h
@@ -35,6 +35,9 @@
   /** Starts the thread. */
   void Start();
 
+  /** Ends the thread; events posted later are ignored. */
+  void Stop();
+
   /** Hands an event to the node; returns at once. */
   void Post(Event aEvent);
 
--- a/app/serve/ServeRuntime.cpp
+++ b/app/serve/ServeRuntime.cpp
@@ -185,9 +185,10 @@
   mInstanceThread.reset();
   mLoadThread.reset();
   mEntry.reset();
+  mPeerServer.reset();
+  mLoop.Stop();
   mAttempts.reset();
   mRatingPool.joinAll();
-  mPeerServer.reset();
   mPeerClient.reset();
   mPlatform.reset();
 }
