Own windows per endpoint, and one drain over all pools

Cause: at five times the load of booking every instance filled the free slots that a late report showed, so engines queued and refused; and a pool was drained by itself, so a low priority of one version took a slot before a high priority of another that shares the endpoint.

Change: each endpoint has a window of own attempts that shrinks to this instance's part when a report shows more than the slots and grows while slots are free. The drain serves the most urgent request over all pools with room.

--- a/modules/skylarkchute_routing/systems/QueueSystem.cpp
+++ b/modules/skylarkchute_routing/systems/QueueSystem.cpp
@@ -42,24 +42,50 @@
   pool.mQueue.Remove(aRow.mPriority, aRow.mTeam, { aRow.mFacts.mDeadline, aRow.mFacts.mId });
 }
 
-void QueueSystem::Drain(const PoolKey& aPool, TimePoint aNow, const Dispatch& aDispatch)
+void QueueSystem::Drain(TimePoint aNow, const Dispatch& aDispatch)
 {
-  auto& pool = mPools.Fresh(aPool);
-  while (const auto* next = pool.mQueue.Next()) {
-    if (!mEndpoints.HasRoom(pool, aNow)) {
-      return;
+  const auto moreUrgent = [](const Head& aLeft, const Head& aRight) {
+    if (aLeft.mRow->mPriority != aRight.mRow->mPriority) {
+      return aLeft.mRow->mPriority > aRight.mRow->mPriority;
     }
-    auto* row = mTables.mRequests.Find(*next);
-    auto* endpoint = mEndpoints.Choose(*row, pool, aNow);
-    if (endpoint == nullptr) {
+    return aLeft.mRow->mFacts.mDeadline < aRight.mRow->mFacts.mDeadline;
+  };
+  while (true) {
+    auto heads = Heads(aNow);
+    std::sort(heads.begin(), heads.end(), moreUrgent);
+    const bool served = std::any_of(
+      heads.begin(), heads.end(), [&](const Head& aHead) { return Serve(aHead, aNow, aDispatch); });
+    if (!served) {
       return;
     }
-    pool.mQueue.CountServed(row->mPriority, row->mTeam);
-    Leave(*row);
-    aDispatch(*row, *endpoint);
   }
 }
 
+std::vector<QueueSystem::Head> QueueSystem::Heads(TimePoint aNow)
+{
+  std::vector<Head> heads;
+  for (auto& it : mTables.mPools.All()) {
+    const auto* next = it.second.mQueue.Next();
+    if (next != nullptr && mEndpoints.HasRoom(mPools.Fresh(it.first), aNow)) {
+      heads.push_back({ &it.second, mTables.mRequests.Find(*next) });
+    }
+  }
+  return heads;
+}
+
+bool QueueSystem::Serve(const Head& aHead, TimePoint aNow, const Dispatch& aDispatch)
+{
+  auto& row = *aHead.mRow;
+  auto* endpoint = mEndpoints.Choose(row, *aHead.mPool, aNow);
+  if (endpoint == nullptr) {
+    return false;
+  }
+  aHead.mPool->mQueue.CountServed(row.mPriority, row.mTeam);
+  Leave(row);
+  aDispatch(row, *endpoint);
+  return true;
+}
+
 std::optional<RefuseStep> QueueSystem::CheckWait(const RequestRow& aRow, TimePoint aNow)
 {
   auto& pool = mTables.mPools.Get(aRow.mPool);
--- a/modules/skylarkchute_routing/systems/QueueSystem.h
+++ b/modules/skylarkchute_routing/systems/QueueSystem.h
@@ -29,8 +29,9 @@
   /** Takes a request out of its queue; does nothing when it does not wait. */
   void Leave(const RequestRow& aRow);
 
-  /** Dispatches from one pool while it has room. */
-  void Drain(const PoolKey& aPool, TimePoint aNow, const Dispatch& aDispatch);
+  /** Dispatches while pools have room. Pools share endpoints, so the next request is the most
+      urgent one over all pools that have room. */
+  void Drain(TimePoint aNow, const Dispatch& aDispatch);
 
   /** Returns a refusal when a waiting request is expected to miss its deadline. */
   std::optional<RefuseStep> CheckWait(const RequestRow& aRow, TimePoint aNow);
@@ -46,6 +47,15 @@
   std::chrono::microseconds ExpectedService(const RequestRow& aRow, TimePoint aNow);
 
 private:
+  /** The request that a pool would serve next. */
+  struct Head
+  {
+    PoolRow* mPool;
+    RequestRow* mRow;
+  };
+
+  std::vector<Head> Heads(TimePoint aNow);
+  bool Serve(const Head& aHead, TimePoint aNow, const Dispatch& aDispatch);
   double EffectiveRate(PoolRow& aPool, std::uint32_t aPriority, TimePoint aNow) const;
   void ShedPool(const PoolKey& aKey, PoolRow& aPool, TimePoint aNow, std::vector<RefuseStep>& aOut);
   RefuseStep Refusal(const RequestRow& aRow, TimePoint aNow);
--- a/modules/skylarkchute_routing/systems/RequestFlow.cpp
+++ b/modules/skylarkchute_routing/systems/RequestFlow.cpp
@@ -103,7 +103,6 @@
   if (row == nullptr || row->FindAttempt(aAttempt) == nullptr) {
     return;
   }
-  const auto pool = row->mPool;
   const bool wasHedge = row->FindAttempt(aAttempt)->mHedge;
   mAttempts.Close(*row, aAttempt, aOutcome, aNow);
   mLimits.Settle(*row, aOutcome);
@@ -115,7 +114,7 @@
   } else if (row->mLive.empty()) {
     OnFailure(*row, aOutcome, aNow, aSteps);
   }
-  DrainPool(pool, aNow, aSteps);
+  DrainQueues(aNow, aSteps);
 }
 
 void RequestFlow::OnHeldRating(const RequestId& aRequest,
@@ -139,14 +138,10 @@
   if (row == nullptr) {
     return;
   }
-  const auto pool = row->mPool;
-  const bool placed = row->mVersion.has_value() || row->mFacts.mService.has_value();
   mQueues.Leave(*row);
   CancelLive(*row, aNow, aSteps);
   End(*row);
-  if (placed) {
-    DrainPool(pool, aNow, aSteps);
-  }
+  DrainQueues(aNow, aSteps);
 }
 
 bool RequestFlow::MayCarryOut(const RequestId& aRequest, const AttemptId& aAttempt) const
@@ -178,13 +173,7 @@
       DecideHeld(*row, std::nullopt, aNow, aSteps);
     }
   }
-  std::vector<PoolKey> pools;
-  for (const auto& it : mTables.mPools.All()) {
-    pools.push_back(it.first);
-  }
-  for (const auto& it : pools) {
-    DrainPool(it, aNow, aSteps);
-  }
+  DrainQueues(aNow, aSteps);
   StartHedges(aNow, aSteps);
   if (aNow < mNextShed) {
     return;
@@ -247,8 +236,7 @@
     mTables.mPools.Get(aRow.mPool).mArrivals[aRow.mPriority].Add(1, aNow);
   }
   mQueues.Enter(aRow, aNow);
-  const auto pool = aRow.mPool;
-  DrainPool(pool, aNow, aSteps);
+  DrainQueues(aNow, aSteps);
   auto* row = mTables.mRequests.Find(id);
   if (row == nullptr || row->mPhase != RequestPhase::Queued) {
     return;
@@ -323,9 +311,9 @@
   return false;
 }
 
-void RequestFlow::DrainPool(const PoolKey& aPool, TimePoint aNow, RouterSteps& aSteps)
+void RequestFlow::DrainQueues(TimePoint aNow, RouterSteps& aSteps)
 {
-  mQueues.Drain(aPool, aNow, [&](RequestRow& aRow, EndpointRow& aEndpoint) {
+  mQueues.Drain(aNow, [&](RequestRow& aRow, EndpointRow& aEndpoint) {
     if (PassGate(aRow, aNow, aSteps)) {
       Send(aRow, aEndpoint, aNow, aSteps);
     }
--- a/modules/skylarkchute_routing/systems/RequestFlow.h
+++ b/modules/skylarkchute_routing/systems/RequestFlow.h
@@ -72,7 +72,7 @@
   EndpointRow* GatedEndpoint(const GateDecision& aGate, TimePoint aNow);
   /** Returns whether the row may go on to the queue; else it was sent, delayed or refused. */
   bool PassGate(RequestRow& aRow, TimePoint aNow, RouterSteps& aSteps);
-  void DrainPool(const PoolKey& aPool, TimePoint aNow, RouterSteps& aSteps);
+  void DrainQueues(TimePoint aNow, RouterSteps& aSteps);
   void Send(RequestRow& aRow, EndpointRow& aEndpoint, TimePoint aNow, RouterSteps& aSteps);
   void OnAnswer(RequestRow& aRow,
                 const AttemptId& aAttempt,
--- a/modules/skylarkchute_routing/tables/EndpointTable.cpp
+++ b/modules/skylarkchute_routing/tables/EndpointTable.cpp
@@ -9,6 +9,11 @@
 
 constexpr std::chrono::milliseconds kReportFresh{ 2000 };
 constexpr std::chrono::milliseconds kReportForgotten{ 10000 };
+/** Part of the slots that all instances together aim to fill; above one, so that reports that are
+    late leave no slot idle. */
+constexpr double kTargetFill = 1.125;
+/** Part of the free slots that one report adds to the window. */
+constexpr double kWindowGrowth = 0.25;
 constexpr double kSlownessWeight = 0.2;
 constexpr double kSlownessHalfLifeSeconds = 10;
 constexpr double kMostSlowness = 50;
@@ -43,7 +48,24 @@
   if (IsLeaving() || aNow < mFullUntil || !mBreaker.Allows(aNow)) {
     return false;
   }
-  return Load(aNow) < Slots(aDefaultSlots);
+  const double slots = Slots(aDefaultSlots);
+  const double window = mWindow > 0 ? std::min(mWindow, slots) : slots;
+  return mInFlight < window;
+}
+
+void EndpointRow::AdjustWindow(std::uint32_t aReported)
+{
+  const double slots = mSlots;
+  const double target = slots * kTargetFill;
+  if (mWindow <= 0) {
+    mWindow = slots;
+  }
+  if (aReported > target) {
+    mWindow = std::min(mWindow, mInFlight * target / aReported);
+  } else {
+    mWindow += kWindowGrowth * (1 - aReported / target) * slots;
+  }
+  mWindow = std::clamp(mWindow, 1.0, std::max(1.0, slots));
 }
 
 void EndpointRow::RecordSlowness(double aRatio, TimePoint aNow)
@@ -85,6 +107,7 @@
   row->mOthers = total > row->mInFlight ? total - row->mInFlight : 0;
   row->mReportedAt = aNow;
   row->mSlots = aReport.mSlots;
+  row->AdjustWindow(total);
   if (row->mLabels != aReport.mHostedLabels || row->mSaidLeaving != aReport.mLeaving) {
     row->mLabels = aReport.mHostedLabels;
     row->mSaidLeaving = aReport.mLeaving;
--- a/modules/skylarkchute_routing/tables/EndpointTable.h
+++ b/modules/skylarkchute_routing/tables/EndpointTable.h
@@ -18,6 +18,7 @@
   bool mSaidLeaving = false;        /**< By the endpoint's own word. */
   std::uint32_t mSlots = 0;         /**< Zero when it never reported. */
   std::uint32_t mInFlight = 0;      /**< Own attempts. */
+  double mWindow = 0;               /**< Most own attempts; zero until the first report. */
   std::uint32_t mOthers = 0;        /**< Load by other instances, at the last report. */
   TimePoint mReportedAt{};
   TimePoint mFullUntil{};     /**< Said that it has no room. */
@@ -39,6 +40,10 @@
   /** Returns whether the endpoint can be given an attempt: not leaving, not tripped, with room. */
   bool CanTake(TimePoint aNow, std::uint32_t aDefaultSlots) const;
 
+  /** Moves the window by a report: down to this instance's part of the slots when the endpoint is
+      over them, up while it has slots free. */
+  void AdjustWindow(std::uint32_t aReported);
+
   /** Takes in how long an answer took over what was expected. */
   void RecordSlowness(double aRatio, TimePoint aNow);
 
