Room kept for requests of higher priority

Cause: at five times the load of booking every slot of an instance was held by long requests of low priority, so lookups waited for one of them to end.

Change: a request leaves 6% of its pool's window free while requests of higher priority arrive. The common fill aimed at is the number of slots.

--- a/modules/skylarkchute_routing/systems/EndpointChoice.cpp
+++ b/modules/skylarkchute_routing/systems/EndpointChoice.cpp
@@ -31,6 +31,26 @@
   });
 }
 
+double EndpointChoice::Room(const PoolRow& aPool, TimePoint aNow)
+{
+  const auto slots = mTables.mOptions.mDefaultSlots;
+  double room = 0;
+  for (const auto* it : WithRoom(aPool, aNow)) {
+    room += it->Window(slots) - it->mInFlight;
+  }
+  return room;
+}
+
+double EndpointChoice::Window(const PoolRow& aPool)
+{
+  double window = 0;
+  for (const auto& it : aPool.mMembers) {
+    const auto* endpoint = mTables.mEndpoints.Find(it);
+    window += endpoint == nullptr ? 0 : endpoint->Window(mTables.mOptions.mDefaultSlots);
+  }
+  return window;
+}
+
 EndpointRow* EndpointChoice::Choose(const RequestRow& aRow, const PoolRow& aPool, TimePoint aNow)
 {
   if (auto* endpoint = ChooseUntried(aRow, aPool, aNow)) {
--- a/modules/skylarkchute_routing/systems/EndpointChoice.h
+++ b/modules/skylarkchute_routing/systems/EndpointChoice.h
@@ -16,6 +16,12 @@
   /** Returns whether any member of the pool can take an attempt. */
   bool HasRoom(const PoolRow& aPool, TimePoint aNow);
 
+  /** Returns how many more attempts the pool can take, over all members with room. */
+  double Room(const PoolRow& aPool, TimePoint aNow);
+
+  /** Returns how many attempts the members of the pool may have at once. */
+  double Window(const PoolRow& aPool);
+
   /** Returns the endpoint for the next attempt of the request, or null when none has room.
       Endpoints that the request has tried are used only when there is no other. */
   EndpointRow* Choose(const RequestRow& aRow, const PoolRow& aPool, TimePoint aNow);
--- a/modules/skylarkchute_routing/systems/QueueSystem.cpp
+++ b/modules/skylarkchute_routing/systems/QueueSystem.cpp
@@ -3,6 +3,7 @@
 #include "Refusals.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace skylarkchute {
 
@@ -10,6 +11,10 @@
 
 /** Least part of the drain rate that a priority is assumed to get. */
 constexpr double kLeastRatePart = 0.02;
+/** Part of a pool's room kept free for requests of higher priority while there are any. */
+constexpr double kReservedPart = 0.06;
+/** Requests a second of higher priority below which nothing is reserved. */
+constexpr double kLeastReservedRate = 0.1;
 constexpr std::chrono::milliseconds kLeastRetryAfter{ 100 };
 constexpr std::chrono::milliseconds kMostRetryAfter{ 60000 };
 constexpr std::chrono::milliseconds kRetryAfterUnknown{ 1000 };
@@ -66,13 +71,32 @@
   std::vector<Head> heads;
   for (auto& it : mTables.mPools.All()) {
     const auto* next = it.second.mQueue.Next();
-    if (next != nullptr && mEndpoints.HasRoom(mPools.Fresh(it.first), aNow)) {
-      heads.push_back({ &it.second, mTables.mRequests.Find(*next) });
+    if (next == nullptr) {
+      continue;
+    }
+    auto& pool = mPools.Fresh(it.first);
+    auto* row = mTables.mRequests.Find(*next);
+    if (mEndpoints.HasRoom(pool, aNow) && LeavesReserve(pool, row->mPriority, aNow)) {
+      heads.push_back({ &pool, row });
     }
   }
   return heads;
 }
 
+bool QueueSystem::LeavesReserve(PoolRow& aPool, std::uint32_t aPriority, TimePoint aNow)
+{
+  double higher = 0;
+  for (const auto& it : aPool.mArrivals) {
+    higher += it.first > aPriority ? it.second.PerSecond(aNow) : 0;
+  }
+  if (higher < kLeastReservedRate) {
+    return true;
+  }
+  const double window = mEndpoints.Window(aPool);
+  const double reserve = std::ceil(window * kReservedPart);
+  return window <= reserve + 1 || mEndpoints.Room(aPool, aNow) - 1 >= reserve;
+}
+
 bool QueueSystem::Serve(const Head& aHead, TimePoint aNow, const Dispatch& aDispatch)
 {
   auto& row = *aHead.mRow;
--- a/modules/skylarkchute_routing/systems/QueueSystem.h
+++ b/modules/skylarkchute_routing/systems/QueueSystem.h
@@ -55,6 +55,8 @@
   };
 
   std::vector<Head> Heads(TimePoint aNow);
+  /** Returns whether the room left would do for requests of higher priority. */
+  bool LeavesReserve(PoolRow& aPool, std::uint32_t aPriority, TimePoint aNow);
   bool Serve(const Head& aHead, TimePoint aNow, const Dispatch& aDispatch);
   double EffectiveRate(PoolRow& aPool, std::uint32_t aPriority, TimePoint aNow) const;
   void ShedPool(const PoolKey& aKey, PoolRow& aPool, TimePoint aNow, std::vector<RefuseStep>& aOut);
--- a/modules/skylarkchute_routing/tables/EndpointTable.cpp
+++ b/modules/skylarkchute_routing/tables/EndpointTable.cpp
@@ -11,7 +11,7 @@
 constexpr std::chrono::milliseconds kReportForgotten{ 10000 };
 /** Part of the slots that all instances together aim to fill; above one, so that reports that are
     late leave no slot idle. */
-constexpr double kTargetFill = 1.125;
+constexpr double kTargetFill = 1.0;
 /** Part of the free slots that one report adds to the window. */
 constexpr double kWindowGrowth = 0.25;
 constexpr double kSlownessWeight = 0.2;
@@ -48,9 +48,13 @@
   if (IsLeaving() || aNow < mFullUntil || !mBreaker.Allows(aNow)) {
     return false;
   }
+  return mInFlight < Window(aDefaultSlots);
+}
+
+double EndpointRow::Window(std::uint32_t aDefaultSlots) const
+{
   const double slots = Slots(aDefaultSlots);
-  const double window = mWindow > 0 ? std::min(mWindow, slots) : slots;
-  return mInFlight < window;
+  return mWindow > 0 ? std::min(mWindow, slots) : slots;
 }
 
 void EndpointRow::AdjustWindow(std::uint32_t aReported)
--- a/modules/skylarkchute_routing/tables/EndpointTable.h
+++ b/modules/skylarkchute_routing/tables/EndpointTable.h
@@ -37,6 +37,9 @@
   /** Returns the load: own attempts, and those of others as far as the report is fresh. */
   double Load(TimePoint aNow) const;
 
+  /** Returns how many own attempts the endpoint may have at once. */
+  double Window(std::uint32_t aDefaultSlots) const;
+
   /** Returns whether the endpoint can be given an attempt: not leaving, not tripped, with room. */
   bool CanTake(TimePoint aNow, std::uint32_t aDefaultSlots) const;
 
