--- /dev/null
+++ b/tests/skylarkchute_routing/LimitTests.cpp
@@ -0,0 +1,142 @@
+#include "RouterFixture.h"
+
+#include <catch2/catch.hpp>
+
+namespace skylarkchute {
+
+namespace {
+
+using Fixture = RouterFixture;
+
+/** Starts requests at a steady rate and completes them at once; returns how many were sent. */
+std::size_t CountSent(Fixture& aFixture, std::size_t aPerSecond, std::size_t aSeconds)
+{
+  std::size_t sent = 0;
+  const auto gap = std::chrono::milliseconds(1000 / aPerSecond);
+  for (std::size_t n = 0; n < aPerSecond * aSeconds; ++n) {
+    aFixture.mClock.Advance(gap);
+    const auto steps = aFixture.mRouter.Start(aFixture.Facts(), aFixture.mClock.Now());
+    for (const auto& it : Fixture::Of<DispatchStep>(steps)) {
+      ++sent;
+      aFixture.End(it, AttemptEnd::Complete);
+    }
+  }
+  return sent;
+}
+
+} // namespace
+
+TEST_CASE(
+  "A team gets its share of the limit within five per cent, before it no more than the start share")
+{
+  Fixture it;
+  it.AddEngine("e1", { "cheap-1", "dear-1" }, 64);
+  it.mBundle.mTeams[0].mRequestsPerSecond = 100;
+  it.ApplyBundle();
+  const double start = RouterOptions().mStartShare * 100 * 60;
+  REQUIRE(static_cast<double>(CountSent(it, 200, 60)) <= start * 1.05);
+  it.mRouter.ApplyLimitShares({ { TeamName("small"), 50, 0 } }, it.mClock.Now());
+  CountSent(it, 200, 5);
+  const auto sent = static_cast<double>(CountSent(it, 200, 60));
+  REQUIRE(sent <= 50 * 60 * 1.05);
+  REQUIRE(sent >= 50 * 60 * 0.95);
+  it.mRouter.ApplyLimitShares({ { TeamName("small"), 0, 0 } }, it.mClock.Now());
+  CountSent(it, 200, 5);
+  REQUIRE(CountSent(it, 200, 10) == 0);
+}
+
+TEST_CASE("A request over a limit is refused at once, as not run and with a time to come back")
+{
+  Fixture it;
+  it.AddEngine("e1", { "cheap-1" }, 64);
+  it.mBundle.mTeams[0].mTokensPerSecond = 100;
+  it.ApplyBundle();
+  it.mRouter.ApplyLimitShares({ { TeamName("small"), 0, 100 } }, it.mClock.Now());
+  it.mClock.Advance(std::chrono::seconds(1));
+  auto facts = it.Facts();
+  facts.mPromptTokens = 100;
+  REQUIRE(Fixture::Of<DispatchStep>(it.mRouter.Start(facts, it.mClock.Now())).size() == 1);
+  auto next = it.Facts();
+  next.mPromptTokens = 50;
+  const auto refusal = Fixture::Of<RefuseStep>(it.mRouter.Start(next, it.mClock.Now())).at(0);
+  REQUIRE(refusal.mVerdict == Verdict::NotRun);
+  REQUIRE(refusal.mHttpStatus == 429);
+  it.mClock.Advance(refusal.mRetryAfter);
+  next.mId = RequestId("again");
+  REQUIRE(Fixture::Of<DispatchStep>(it.mRouter.Start(next, it.mClock.Now())).size() == 1);
+}
+
+TEST_CASE("A team that floods the queue does not delay the other team beyond its weight")
+{
+  Fixture it;
+  it.AddEngine("e1", { "dear-1" }, 1);
+  auto busy = it.Facts();
+  busy.mModel = ModelName("dear");
+  busy.mApiKey = "key-large";
+  auto running = Fixture::Of<DispatchStep>(it.mRouter.Start(busy, it.mClock.Now())).at(0);
+  for (std::size_t n = 0; n < 20; ++n) {
+    auto flood = it.Facts();
+    flood.mApiKey = "key-large";
+    flood.mModel = ModelName("dear");
+    it.mRouter.Start(flood, it.mClock.Now());
+  }
+  auto small = it.Facts();
+  small.mModel = ModelName("dear");
+  it.mRouter.Start(small, it.mClock.Now());
+  std::size_t turns = 0;
+  while (running.mRequest != small.mId) {
+    running = Fixture::Of<DispatchStep>(it.End(running, AttemptEnd::Complete)).at(0);
+    ++turns;
+  }
+  REQUIRE(turns <= 2);
+}
+
+TEST_CASE("A higher priority is served first, and a request that would be late is refused at once")
+{
+  Fixture it;
+  it.AddEngine("e1", { "dear-1" }, 1);
+  const auto start = [&](const char* aClass, std::chrono::milliseconds aDeadline) {
+    auto facts = it.Facts(aDeadline);
+    facts.mModel = ModelName("dear");
+    facts.mClass = ClassName(aClass);
+    return it.mRouter.Start(facts, it.mClock.Now());
+  };
+  auto running = Fixture::Of<DispatchStep>(start("chat", std::chrono::seconds(30))).at(0);
+  for (std::size_t n = 0; n < 100; ++n) {
+    it.Run(std::chrono::milliseconds(100));
+    it.End(running, AttemptEnd::Complete);
+    running = Fixture::Of<DispatchStep>(start("chat", std::chrono::seconds(30))).at(0);
+  }
+  for (std::size_t n = 0; n < 20; ++n) {
+    REQUIRE(Fixture::Of<WaitStep>(start("chat", std::chrono::seconds(30))).size() == 1);
+  }
+  const auto refusal = Fixture::Of<RefuseStep>(start("chat", std::chrono::milliseconds(500))).at(0);
+  REQUIRE(refusal.mVerdict == Verdict::NotRun);
+  REQUIRE(refusal.mReason == "overloaded");
+  REQUIRE(refusal.mRetryAfter >= std::chrono::milliseconds(1000));
+  REQUIRE(refusal.mRetryAfter <= std::chrono::milliseconds(4000));
+  REQUIRE(Fixture::Of<WaitStep>(start("status", std::chrono::milliseconds(500))).size() == 1);
+  const auto next = Fixture::Of<DispatchStep>(it.End(running, AttemptEnd::Complete)).at(0);
+  REQUIRE(next.mRequest == RequestId("r" + std::to_string(it.mNextId)));
+}
+
+TEST_CASE("Without a host a request waits, and is answered as soon as its deadline cannot be met")
+{
+  Fixture it;
+  auto facts = it.Facts(std::chrono::seconds(2));
+  facts.mModel = ModelName("dear");
+  REQUIRE(Fixture::Of<WaitStep>(it.mRouter.Start(facts, it.mClock.Now())).size() == 1);
+  REQUIRE(it.Run(std::chrono::milliseconds(1500)).empty());
+  const auto refusal = Fixture::Of<RefuseStep>(it.Run(std::chrono::milliseconds(600))).at(0);
+  REQUIRE(refusal.mVerdict == Verdict::NotRun);
+  REQUIRE(refusal.mReason == "no-endpoint");
+  REQUIRE(refusal.mRetryAfter.count() > 0);
+
+  auto lucky = it.Facts(std::chrono::seconds(2));
+  lucky.mModel = ModelName("dear");
+  it.mRouter.Start(lucky, it.mClock.Now());
+  it.AddEngine("e1", { "dear-1" });
+  REQUIRE(Fixture::Of<DispatchStep>(it.Run(std::chrono::milliseconds(10))).size() == 1);
+}
+
+} // namespace skylarkchute
