--- a/modules/skylarkchute_routing/systems/EndpointChoice.cpp
+++ b/modules/skylarkchute_routing/systems/EndpointChoice.cpp
@@ -65,7 +65,7 @@
 {
   auto candidates = WithRoom(aPool, aNow);
   std::erase_if(candidates, [&](const EndpointRow* aIt) { return WasTried(aRow, *aIt); });
-  return ChooseOf(aRow, std::move(candidates), aNow);
+  return ChooseOf(aRow, candidates, aNow);
 }
 
 EndpointChoice::Candidates EndpointChoice::WithRoom(const PoolRow& aPool, TimePoint aNow)
@@ -81,7 +81,7 @@
 }
 
 EndpointRow* EndpointChoice::ChooseOf(const RequestRow& aRow,
-                                      Candidates aCandidates,
+                                      const Candidates& aCandidates,
                                       TimePoint aNow)
 {
   if (aCandidates.empty()) {
--- a/modules/skylarkchute_routing/systems/EndpointChoice.h
+++ b/modules/skylarkchute_routing/systems/EndpointChoice.h
@@ -33,7 +33,7 @@
   using Candidates = std::vector<EndpointRow*>;
 
   Candidates WithRoom(const PoolRow& aPool, TimePoint aNow);
-  EndpointRow* ChooseOf(const RequestRow& aRow, Candidates aCandidates, TimePoint aNow);
+  EndpointRow* ChooseOf(const RequestRow& aRow, const Candidates& aCandidates, TimePoint aNow);
   EndpointRow* ByAffinity(const std::string& aKey, const Candidates& aCandidates, TimePoint aNow);
   EndpointRow* ByTwoChoices(const Candidates& aCandidates, TimePoint aNow);
   double Score(const EndpointRow& aEndpoint, TimePoint aNow) const;
--- a/modules/skylarkchute_routing/systems/VersionChoice.cpp
+++ b/modules/skylarkchute_routing/systems/VersionChoice.cpp
@@ -152,11 +152,11 @@
   const auto choice = mCascades.ChooseModel(aRow, models, aNow);
   aRow.mByCascade = true;
   aRow.mHold = choice.mHoldForRating;
-  if (const auto version = ChooseOfModel(aTeam, choice.mModel, aNow)) {
+  if (auto version = ChooseOfModel(aTeam, choice.mModel, aNow)) {
     return version;
   }
   for (const auto& it : models) {
-    if (const auto version = ChooseOfModel(aTeam, it, aNow)) {
+    if (auto version = ChooseOfModel(aTeam, it, aNow)) {
       return version;
     }
   }
@@ -245,6 +245,7 @@
                     : aLeft->mQuality > aRight->mQuality;
   });
   std::vector<ModelName> order;
+  order.reserve(models.size());
   for (const auto* it : models) {
     order.push_back(it->mName);
   }
