Version health finds a version that turns bad late, and does not take a usual rate for an incident

Cause: good evidence before a fault had to be worked off first, and any class with a tenth of bad ratings counted as an incident of the older version, which hid quality faults altogether. Change: likelihood ratios have a floor, as in a CUSUM test; an incident is a rise above the mean; the breaker probes every ten seconds at most. The rating estimate asks four standard errors of a fall. Bench: rolls reach their stage through smaller ones, ended sessions are not used again.

--- a/benchmarks/skylarkchute_bench/run/FleetRun.cpp
+++ b/benchmarks/skylarkchute_bench/run/FleetRun.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::microseconds kRatingLatency{ 150'000 };
 constexpr std::chrono::microseconds kSlowRating{ 10'000'000 };
 constexpr std::chrono::seconds kDrain{ 200 };
+constexpr double kFirstStagePercent = 5;
+constexpr std::chrono::seconds kStageHold{ 200 };
 constexpr double kTokensPerPrice = 1000;
 constexpr double kCancelledCost = 0.5;
 /** One request in so many crashes its endpoint while the fault lasts. */
@@ -57,6 +59,12 @@
 RunRecord FleetRun::Run()
 {
   StartInstances();
+  // A roll reaches its stage by the smaller ones, so that both versions have been compared.
+  SetStage(std::min(mOptions.mStagePercent, kFirstStagePercent));
+  if (mOptions.mStagePercent > kFirstStagePercent) {
+    mTimeline.After(kStageHold, [this] { SetStage(mOptions.mStagePercent / 2); });
+    mTimeline.After(2 * kStageHold, [this] { SetStage(mOptions.mStagePercent); });
+  }
   ScheduleArrival();
   Every(kTickPeriod, [this] {
     mField.Tick();
@@ -103,7 +111,6 @@
     assert(instance.mRouter != nullptr);
     instance.mRouter->ApplyBundle(mWorkload.mBundle, now);
     instance.mRouter->ApplyEndpoints(mLastEndpoints, now);
-    instance.mRouter->ApplyRolls({ { RollName(kRoll), mOptions.mStagePercent, false } }, now);
     instance.mRouter->ApplyLimitShares(shares, now);
     for (const auto& it : mField.Loads()) {
       instance.mRouter->ApplyLoad(it, now);
@@ -147,7 +154,7 @@
   if (!session) {
     return;
   }
-  if (mUnpinned.count(*session) > 0) {
+  if (mUnpinned.count(*session) > 0 || mPromises.IsEnded(*session)) {
     session.reset();
     return;
   }
@@ -445,6 +452,16 @@
   }
 }
 
+void FleetRun::SetStage(double aPercent)
+{
+  if (mRun.mExposure.mFirstStop) {
+    return;
+  }
+  for (auto& it : mInstances) {
+    it.mRouter->ApplyRolls({ { RollName(kRoll), aPercent, false } }, mTimeline.Now());
+  }
+}
+
 double FleetRun::PriceOf(const std::optional<VersionId>& aVersion) const
 {
   if (!aVersion) {
--- a/benchmarks/skylarkchute_bench/run/FleetRun.h
+++ b/benchmarks/skylarkchute_bench/run/FleetRun.h
@@ -66,6 +66,7 @@
   void SendLoads();
   void SendEndpoints();
   void SendEvidence();
+  void SetStage(double aPercent);
 
   double PriceOf(const std::optional<VersionId>& aVersion) const;
 
--- a/benchmarks/skylarkchute_bench/run/PromiseChecker.h
+++ b/benchmarks/skylarkchute_bench/run/PromiseChecker.h
@@ -36,8 +36,11 @@
   /** Returns the version that a session keeps, if it is known. */
   std::optional<VersionId> PinOf(std::size_t aSession) const;
 
-  /** Ends a session whose version was withdrawn. */
-  void EndSession(std::size_t aSession) { mPins.erase(aSession); }
+  /** Ends a session after a refusal; its caller sends no more in it. */
+  void EndSession(std::size_t aSession) { mEnded.insert(aSession); }
+
+  /** Returns whether the session has ended. */
+  bool IsEnded(std::size_t aSession) const { return mEnded.count(aSession) > 0; }
 
   /** Returns every broken promise with the request's number. */
   const std::vector<std::string>& Broken() const { return mBroken; }
@@ -48,6 +51,7 @@
   const Workload& mWorkload;
   std::map<std::size_t, std::set<VersionId>> mStopped;
   std::map<std::size_t, VersionId> mPins;
+  std::set<std::size_t> mEnded;
   std::vector<std::string> mBroken;
 };
 
--- a/benchmarks/skylarkchute_bench/run/RunCommandLine.cpp
+++ b/benchmarks/skylarkchute_bench/run/RunCommandLine.cpp
@@ -34,7 +34,9 @@
       "naive, random, least-loaded or skylarkchute");
   add("seed", po::value<std::uint64_t>()->default_value(1), "seed of every draw");
   add("load", po::value<double>()->default_value(1), "factor on every arrival rate");
-  add("stage", po::value<double>()->default_value(0), "share of the rolling version in per cent");
+  add("stage",
+      po::value<double>()->default_value(0),
+      "share of the rolling version in per cent, reached in three stages of 200 s");
   add("headroom",
       po::value<double>()->default_value(100),
       "team limits as a multiple of their mean demand at normal load");
--- a/modules/skylarkchute_routing/policy/cascade/RatingEstimate.cpp
+++ b/modules/skylarkchute_routing/policy/cascade/RatingEstimate.cpp
@@ -15,7 +15,8 @@
 /** Ratings from which a level counts as established and changes of it are looked for. */
 constexpr double kEstablished = 120;
 constexpr double kShortMinimum = 15;
-constexpr double kChangeDeviations = 3;
+constexpr double kFallDeviations = 4;
+constexpr double kRiseDeviations = 3;
 constexpr double kLeastRise = 0.06;
 constexpr double kBoundDeviations = 1.6;
 
@@ -92,7 +93,7 @@
   if (IsFallBelow(mLong)) {
     mLong = mShort;
     mMedium = mShort;
-  } else if (mMedium.Mean() < mLong.Mean() - kChangeDeviations * mediumError) {
+  } else if (mMedium.Mean() < mLong.Mean() - kFallDeviations * mediumError) {
     mLong = mMedium;
   }
   if (!IsFallBelow(mAccepted)) {
@@ -103,14 +104,14 @@
 bool RatingEstimate::IsFallBelow(const Window& aWindow) const
 {
   return mShort.mRated >= kShortMinimum &&
-         mShort.Mean() < aWindow.Mean() - kChangeDeviations * ShortError(aWindow);
+         mShort.Mean() < aWindow.Mean() - kFallDeviations * ShortError(aWindow);
 }
 
 bool RatingEstimate::IsRise() const
 {
   const double rise = mShort.Mean() - mAccepted.Mean();
   return mShort.mRated >= kShortMinimum && rise > kLeastRise &&
-         rise > kChangeDeviations * ShortError(mAccepted);
+         rise > kRiseDeviations * ShortError(mAccepted);
 }
 
 double RatingEstimate::ShortError(const Window& aWindow) const
--- a/modules/skylarkchute_routing/policy/health/RateBaseline.cpp
+++ b/modules/skylarkchute_routing/policy/health/RateBaseline.cpp
@@ -11,7 +11,7 @@
 constexpr double kLatestSpanTrials = 20;
 constexpr double kLongDeviations = 3.3;
 constexpr double kRecentDeviations = 2;
-/** Events in the latest window from which it is taken as an incident. */
+/** Least number of events in the latest window that may be an incident. */
 constexpr double kIncidentEvents = 2.5;
 
 double Bound(double aTrials, double aEvents, double aDeviations)
@@ -56,12 +56,20 @@
   }
   double bound = Bound(static_cast<double>(mTrials), static_cast<double>(mEvents), kLongDeviations);
   bound = std::max(bound, mRecent.UpperBound(kRecentDeviations));
-  if (mLatest.mEvents >= kIncidentEvents) {
+  if (IsIncident()) {
     bound = std::max(bound, mLatest.UpperBound(kRecentDeviations));
   }
   return bound;
 }
 
+bool RateBaseline::IsIncident() const
+{
+  const double mean = Mean();
+  const double spread = std::sqrt(mean * (1 - mean) * mLatest.mTrials);
+  const double expected = mean * mLatest.mTrials;
+  return mLatest.mEvents >= std::max(kIncidentEvents, expected + kLongDeviations * spread);
+}
+
 double RateBaseline::Mean() const
 {
   return (static_cast<double>(mEvents) + 1) / (static_cast<double>(mTrials) + 2);
--- a/modules/skylarkchute_routing/policy/health/RateBaseline.h
+++ b/modules/skylarkchute_routing/policy/health/RateBaseline.h
@@ -34,6 +34,8 @@
     double UpperBound(double aDeviations) const;
   };
 
+  bool IsIncident() const;
+
   std::uint64_t mTrials = 0;
   std::uint64_t mEvents = 0;
   Window mRecent;
--- a/modules/skylarkchute_routing/policy/health/SequentialTest.cpp
+++ b/modules/skylarkchute_routing/policy/health/SequentialTest.cpp
@@ -10,6 +10,8 @@
 
 constexpr double kLowestRate = 0.002;
 constexpr double kHighestRate = 0.98;
+/** Good evidence counts no further, so that a version that turns bad later is found as soon. */
+constexpr double kLogFloor = -5;
 
 } // namespace
 
@@ -33,6 +35,7 @@
     const double rate = bound + std::min(rises[n], room);
     mLogRatios[n] += events * std::log(rate / bound);
     mLogRatios[n] += others * std::log((1 - rate) / (1 - bound));
+    mLogRatios[n] = std::max(mLogRatios[n], kLogFloor);
   }
 }
 
--- a/modules/skylarkchute_routing/policy/health/SequentialTest.h
+++ b/modules/skylarkchute_routing/policy/health/SequentialTest.h
@@ -9,8 +9,10 @@
 /** A sequential test that a rate exceeds a bound, readable after every trial.
 
     Keeps the likelihood ratio of a mixture of higher rates against the bound. While the true rate
-    is at most the bound, the ratio is a non-negative supermartingale that starts at one, so it ever
-    reaches 1/a with a probability of at most a (Ville's inequality), however often it is read. */
+    is at most the bound, the ratio is a non-negative supermartingale that starts at one, so it
+    reaches 1/a with a probability of at most a (Ville's inequality), however often it is read. Each
+    ratio has a floor, as in a CUSUM test: from there it reaches 1/a with a probability of at most a
+    times the floor, once for each return to the floor. */
 class SequentialTest
 {
 public:
--- a/modules/skylarkchute_routing/policy/health/VersionBreaker.cpp
+++ b/modules/skylarkchute_routing/policy/health/VersionBreaker.cpp
@@ -11,7 +11,7 @@
 constexpr int kFailures = 2;
 constexpr std::uint32_t kHistoryMask = 0xF;
 constexpr std::chrono::milliseconds kFirstPause{ 5000 };
-constexpr std::chrono::milliseconds kLongestPause{ 60000 };
+constexpr std::chrono::milliseconds kLongestPause{ 10000 };
 
 } // namespace
 
--- a/tests/skylarkchute_routing/PolicyHealthTests.cpp
+++ b/tests/skylarkchute_routing/PolicyHealthTests.cpp
@@ -24,10 +24,10 @@
 };
 
 /** Feeds a health test with attempts of both versions drawn from a seed. */
-class RollDriver
+class HealthDriver
 {
 public:
-  explicit RollDriver(std::uint64_t aSeed) : mRandom(aSeed) {}
+  explicit HealthDriver(std::uint64_t aSeed) : mRandom(aSeed) {}
 
   /** Sends one attempt and, for some, its rating.
       @param aBad  behaviour of the newer version for the attempts that @p aIsHit accepts */
@@ -85,7 +85,7 @@
 {
   int bad = 0;
   for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
-    RollDriver driver(seed);
+    HealthDriver driver(seed);
     driver.Run(2000, 0.05, {}, kEverywhere);
     driver.Run(1000, 0.5, {}, kEverywhere);
     const auto verdict = driver.Run(1000, 1, {}, kEverywhere);
@@ -113,7 +113,7 @@
   }));
   INFO(fault.mName);
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    RollDriver driver(seed);
+    HealthDriver driver(seed);
     driver.Run(1000, 0, {}, kEverywhere);
     const auto verdict = driver.Run(40'000, 0.05, fault.mBad, kEverywhere);
     REQUIRE(verdict.mState == HealthState::Bad);
@@ -127,14 +127,14 @@
 {
   const Behaviour bad{ 0.6, 0.005, 0.92, 1 };
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-    RollDriver ofTeam(seed);
+    HealthDriver ofTeam(seed);
     ofTeam.Run(3000, 0, {}, kEverywhere);
     const auto team = ofTeam.Run(40'000, 0.05, bad, [](const HealthAttempt& aAttempt) {
       return aAttempt.mTeam == TeamName("team-6");
     });
     CHECK(team.Reason() == "errors in team team-6");
 
-    RollDriver ofZone(seed);
+    HealthDriver ofZone(seed);
     ofZone.Run(3000, 0, {}, kEverywhere);
     const auto zone = ofZone.Run(40'000, 0.05, bad, [](const HealthAttempt& aAttempt) {
       return aAttempt.mZone == ZoneName("zone-1");
@@ -145,7 +145,7 @@
 
 TEST_CASE("a version turns healthy only with evidence")
 {
-  RollDriver driver(7);
+  HealthDriver driver(7);
   CHECK(driver.Run(3000, 0, {}, kEverywhere).mState == HealthState::Undecided);
   CHECK(driver.Run(40'000, 0.5, {}, kEverywhere).mState == HealthState::Healthy);
 }
