Retry budget drops its store while most attempts fail

Cause: every instance and class had ten stored retries, which a fleet spends at once when all fails.

--- a/modules/skylarkchute_routing/systems/AttemptSystem.cpp
+++ b/modules/skylarkchute_routing/systems/AttemptSystem.cpp
@@ -88,6 +88,9 @@
   if (endpoint != nullptr) {
     RecordAtEndpoint(aRow, *endpoint, aOutcome, aNow);
   }
+  const bool answered =
+    aOutcome.mEnd == AttemptEnd::Complete || aOutcome.mEnd == AttemptEnd::Rejected;
+  mTables.mClasses.Get(aRow.mFacts.mClass).mBudget.OnOutcome(!answered);
   if (aOutcome.mVerdict != Verdict::NotRun) {
     mTables.mPools.Get(aRow.mPool).mDrain.Add(1, aNow);
   }
