--- a/modules/skylarkchute_routing/systems/EndpointChoice.cpp
+++ b/modules/skylarkchute_routing/systems/EndpointChoice.cpp
@@ -31,6 +31,26 @@
   });
 }
 
+double EndpointChoice::Room(const PoolRow& aPool, TimePoint aNow)
+{
+  const auto slots = mTables.mOptions.mDefaultSlots;
+  double room = 0;
+  for (const auto* it : WithRoom(aPool, aNow)) {
+    room += it->Window(slots) - it->mInFlight;
+  }
+  return room;
+}
+
+double EndpointChoice::Window(const PoolRow& aPool)
+{
+  double window = 0;
+  for (const auto& it : aPool.mMembers) {
+    const auto* endpoint = mTables.mEndpoints.Find(it);
+    window += endpoint == nullptr ? 0 : endpoint->Window(mTables.mOptions.mDefaultSlots);
+  }
+  return window;
+}
+
 EndpointRow* EndpointChoice::Choose(const RequestRow& aRow, const PoolRow& aPool, TimePoint aNow)
 {
   if (auto* endpoint = ChooseUntried(aRow, aPool, aNow)) {
@@ -45,7 +65,7 @@
 {
   auto candidates = WithRoom(aPool, aNow);
   std::erase_if(candidates, [&](const EndpointRow* aIt) { return WasTried(aRow, *aIt); });
-  return ChooseOf(aRow, std::move(candidates), aNow);
+  return ChooseOf(aRow, candidates, aNow);
 }
 
 EndpointChoice::Candidates EndpointChoice::WithRoom(const PoolRow& aPool, TimePoint aNow)
@@ -61,7 +81,7 @@
 }
 
 EndpointRow* EndpointChoice::ChooseOf(const RequestRow& aRow,
-                                      Candidates aCandidates,
+                                      const Candidates& aCandidates,
                                       TimePoint aNow)
 {
   if (aCandidates.empty()) {
--- a/modules/skylarkchute_routing/systems/QueueSystem.cpp
+++ b/modules/skylarkchute_routing/systems/QueueSystem.cpp
@@ -3,6 +3,7 @@
 #include "Refusals.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace skylarkchute {
 
@@ -10,6 +11,10 @@
 
 /** Least part of the drain rate that a priority is assumed to get. */
 constexpr double kLeastRatePart = 0.02;
+/** Part of a pool's room kept free for requests of higher priority while there are any. */
+constexpr double kReservedPart = 0.06;
+/** Requests a second of higher priority below which nothing is reserved. */
+constexpr double kLeastReservedRate = 0.1;
 constexpr std::chrono::milliseconds kLeastRetryAfter{ 100 };
 constexpr std::chrono::milliseconds kMostRetryAfter{ 60000 };
 constexpr std::chrono::milliseconds kRetryAfterUnknown{ 1000 };
@@ -42,22 +47,67 @@
   pool.mQueue.Remove(aRow.mPriority, aRow.mTeam, { aRow.mFacts.mDeadline, aRow.mFacts.mId });
 }
 
-void QueueSystem::Drain(const PoolKey& aPool, TimePoint aNow, const Dispatch& aDispatch)
+void QueueSystem::Drain(TimePoint aNow, const Dispatch& aDispatch)
 {
-  auto& pool = mPools.Fresh(aPool);
-  while (const auto* next = pool.mQueue.Next()) {
-    if (!mEndpoints.HasRoom(pool, aNow)) {
+  const auto moreUrgent = [](const Head& aLeft, const Head& aRight) {
+    if (aLeft.mRow->mPriority != aRight.mRow->mPriority) {
+      return aLeft.mRow->mPriority > aRight.mRow->mPriority;
+    }
+    return aLeft.mRow->mFacts.mDeadline < aRight.mRow->mFacts.mDeadline;
+  };
+  while (true) {
+    auto heads = Heads(aNow);
+    std::sort(heads.begin(), heads.end(), moreUrgent);
+    const bool served = std::any_of(
+      heads.begin(), heads.end(), [&](const Head& aHead) { return Serve(aHead, aNow, aDispatch); });
+    if (!served) {
       return;
     }
+  }
+}
+
+std::vector<QueueSystem::Head> QueueSystem::Heads(TimePoint aNow)
+{
+  std::vector<Head> heads;
+  for (auto& it : mTables.mPools.All()) {
+    const auto* next = it.second.mQueue.Next();
+    if (next == nullptr) {
+      continue;
+    }
+    auto& pool = mPools.Fresh(it.first);
     auto* row = mTables.mRequests.Find(*next);
-    auto* endpoint = mEndpoints.Choose(*row, pool, aNow);
-    if (endpoint == nullptr) {
-      return;
+    if (mEndpoints.HasRoom(pool, aNow) && LeavesReserve(pool, row->mPriority, aNow)) {
+      heads.push_back({ &pool, row });
     }
-    pool.mQueue.CountServed(row->mPriority, row->mTeam);
-    Leave(*row);
-    aDispatch(*row, *endpoint);
   }
+  return heads;
+}
+
+bool QueueSystem::LeavesReserve(PoolRow& aPool, std::uint32_t aPriority, TimePoint aNow)
+{
+  double higher = 0;
+  for (const auto& it : aPool.mArrivals) {
+    higher += it.first > aPriority ? it.second.PerSecond(aNow) : 0;
+  }
+  if (higher < kLeastReservedRate) {
+    return true;
+  }
+  const double window = mEndpoints.Window(aPool);
+  const double reserve = std::ceil(window * kReservedPart);
+  return window <= reserve + 1 || mEndpoints.Room(aPool, aNow) - 1 >= reserve;
+}
+
+bool QueueSystem::Serve(const Head& aHead, TimePoint aNow, const Dispatch& aDispatch)
+{
+  auto& row = *aHead.mRow;
+  auto* endpoint = mEndpoints.Choose(row, *aHead.mPool, aNow);
+  if (endpoint == nullptr) {
+    return false;
+  }
+  aHead.mPool->mQueue.CountServed(row.mPriority, row.mTeam);
+  Leave(row);
+  aDispatch(row, *endpoint);
+  return true;
 }
 
 std::optional<RefuseStep> QueueSystem::CheckWait(const RequestRow& aRow, TimePoint aNow)
