--- a/benchmarks/skylarkchute_bench/run/FakeEngine.cpp
+++ b/benchmarks/skylarkchute_bench/run/FakeEngine.cpp
@@ -52,11 +52,11 @@
   while (mRunning.size() < mSlots && !mQueue.empty()) {
     auto job = std::move(mQueue.front());
     mQueue.pop_front();
-    Run(std::move(job));
+    Run(job);
   }
 }
 
-void FakeEngine::Run(EngineJob aJob)
+void FakeEngine::Run(const EngineJob& aJob)
 {
   const auto life = mNextLife++;
   const auto attempt = aJob.mAttempt;
--- a/benchmarks/skylarkchute_bench/run/FakeEngine.h
+++ b/benchmarks/skylarkchute_bench/run/FakeEngine.h
@@ -39,7 +39,7 @@
 
 private:
   void StartNext();
-  void Run(EngineJob aJob);
+  void Run(const EngineJob& aJob);
   bool IsRunning(const AttemptId& aAttempt, std::uint64_t aLife) const;
 
   Timeline& mTimeline;
--- a/benchmarks/skylarkchute_bench/workload/Truth.cpp
+++ b/benchmarks/skylarkchute_bench/workload/Truth.cpp
@@ -20,10 +20,10 @@
 
 enum Purpose : std::uint64_t
 {
-  kQualityDraw = 1,
-  kErrorDraw,
-  kTimeoutDraw,
-  kRatingDraw,
+  QualityDraw = 1,
+  ErrorDraw,
+  TimeoutDraw,
+  RatingDraw,
 };
 
 /** A draw between 0 and 1 from the hash's upper bits. */
@@ -72,7 +72,7 @@
   if (mFaults.mKind == FaultKind::BadQuality && IsHitByBadVersion(aFacts, aElapsed)) {
     quality -= kBadQualityDrop;
   }
-  return Draw(aFacts.mRequestNumber, kQualityDraw) < quality;
+  return Draw(aFacts.mRequestNumber, QualityDraw) < quality;
 }
 
 AttemptFate Truth::Fate(const AttemptFacts& aFacts, std::chrono::microseconds aElapsed) const
@@ -96,8 +96,8 @@
     fate.mSlowness *= kSlowEndpoint;
   }
   const auto number = aFacts.mRequestNumber * 64 + aFacts.mAttemptNumber;
-  fate.mError = Draw(number, kErrorDraw) < errors;
-  fate.mHangs = !fate.mError && Draw(number, kTimeoutDraw) < timeouts;
+  fate.mError = Draw(number, ErrorDraw) < errors;
+  fate.mHangs = !fate.mError && Draw(number, TimeoutDraw) < timeouts;
   return fate;
 }
 
@@ -109,7 +109,7 @@
     return 1;
   }
   if (mFaults.Has(FaultKind::RaterLow, aElapsed) && aGood) {
-    return Draw(aRequestNumber, kRatingDraw) < kLowRaterMiss ? 0 : 1;
+    return Draw(aRequestNumber, RatingDraw) < kLowRaterMiss ? 0 : 1;
   }
   return aGood ? 1 : 0;
 }
