Load poller, entry events, and refusal of orders without a key

Cause: a hung endpoint held back the load reports of the others; a class or service that the bundle marks non-idempotent took requests without an Idempotency-Key. Change: LoadPoller replaces the sequential polls; the node refuses such a request with 400 not-run. Conclusion: only the node knows the bundle's mark, so the entry cannot check it.

--- a/app/serve/ServeRuntime.cpp
+++ b/app/serve/ServeRuntime.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds kPeerAnswerTimeout{ 2000 };
 constexpr milliseconds kInstanceListWait{ 10'000 };
 constexpr milliseconds kInstanceListPause{ 100 };
-constexpr milliseconds kLoadTimeout{ 400 };
+constexpr milliseconds kEntryEventPause{ 1000 };
 constexpr milliseconds kRatingTimeout{ 5000 };
 constexpr milliseconds kFlushTimeout{ 10'000 };
 constexpr milliseconds kDrainPoll{ 20 };
@@ -106,6 +106,23 @@
   };
 }
 
+/** Passes load reports on to the node. */
+class LoadListener final : public LoadPoller::Listener
+{
+public:
+  explicit LoadListener(NodeLoop& aLoop) : mLoop(aLoop) {}
+
+  void OnLoad(const LoadReport& aReport) override
+  {
+    mLoop.Post([aReport](Node& aNode, NodeTime aTime) { return aNode.OnLoad(aReport, aTime); });
+  }
+
+  void OnLoadMissing(const EndpointId& /*aEndpoint*/) override {}
+
+private:
+  NodeLoop& mLoop;
+};
+
 /** Asks for one rating on a thread of a pool, then deletes itself. */
 class RatingTask final : public Poco::Runnable
 {
@@ -172,18 +189,21 @@
     });
   mAttempts = std::make_unique<AttemptRunner>(AttemptRunner::Options{});
   mEntry = std::make_unique<HttpEntry>(EntryOptionsOf(aSettings), *this);
+  LoadPoller::Options loads;
+  loads.mPeriod = aSettings.mRouting.mLoadPollPeriod;
+  mLoads = std::make_unique<LoadPoller>(loads, std::make_shared<LoadListener>(mLoop));
   mLoop.Start();
   mInstanceThread =
     std::make_unique<PeriodicThread>(kInstanceListPause, [this] { ReadInstances(); });
-  mLoadThread =
-    std::make_unique<PeriodicThread>(aSettings.mRouting.mLoadPollPeriod, [this] { PollLoads(); });
+  mEventThread = std::make_unique<PeriodicThread>(kEntryEventPause, [this] { WriteEntryEvents(); });
   mLog.Write({ &kInstanceStarted, { { "zone", aSettings.mInstance.mZone.Value() } } });
 }
 
 ServeRuntime::~ServeRuntime()
 {
   mInstanceThread.reset();
-  mLoadThread.reset();
+  mEventThread.reset();
+  mLoads.reset();
   mEntry.reset();
   mPeerServer.reset();
   mLoop.Stop();
@@ -335,6 +355,9 @@
 
 void ServeRuntime::AttemptEnded(const RequestId& aRequest, const AttemptResult& aResult)
 {
+  for (const auto& it : EventsOf(aResult)) {
+    mLog.Write(it);
+  }
   mLoop.Post([this, aRequest, aResult](Node& aNode, NodeTime aTime) {
     mBoard.NoteResult(aRequest, aResult);
     return aNode.OnAttemptEnd(aRequest,
@@ -439,6 +462,7 @@
     mEndpoints = endpoints;
     mRater = rater;
   }
+  mLoads->SetEndpoints(endpoints);
   mPeerClient->SetPeers(peers);
   mPlatform->SetFleetSize(peers.size());
   mLoop.Post([endpoints, peers](Node& aNode, NodeTime aTime) {
@@ -446,17 +470,10 @@
   });
 }
 
-void ServeRuntime::PollLoads()
+void ServeRuntime::WriteEntryEvents()
 {
-  std::vector<EndpointRecord> endpoints;
-  {
-    const std::lock_guard lock(mEndpointsMutex);
-    endpoints = mEndpoints;
-  }
-  for (const auto& it : endpoints) {
-    if (const auto report = PollLoad(it, kLoadTimeout)) {
-      mLoop.Post([report](Node& aNode, NodeTime aTime) { return aNode.OnLoad(*report, aTime); });
-    }
+  for (const auto& it : mEntry->TakeEvents()) {
+    mLog.Write(it);
   }
 }
 
--- a/app/serve/ServeRuntime.h
+++ b/app/serve/ServeRuntime.h
@@ -45,7 +45,7 @@
   std::optional<std::string> ServePeer(const PeerServer::Request& aRequest);
   void ReadInstances();
   void ApplyInstances(const InstanceList& aList);
-  void PollLoads();
+  void WriteEntryEvents();
   void AddLatencies(Json::Value& aStatus) const;
   void AddEndpoints(Json::Value& aStatus) const;
 
@@ -71,7 +71,8 @@
   std::unique_ptr<HttpEntry> mEntry;
   Poco::ThreadPool mRatingPool;
   std::unique_ptr<PeriodicThread> mInstanceThread;
-  std::unique_ptr<PeriodicThread> mLoadThread;
+  std::unique_ptr<LoadPoller> mLoads;
+  std::unique_ptr<PeriodicThread> mEventThread;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_node/requests/Refusals.cpp
+++ b/modules/skylarkchute_node/requests/Refusals.cpp
@@ -81,6 +81,16 @@
   return MakeRefusal(aRequest, Verdict::NotRun, 403, reason, detail, kNever);
 }
 
+RefuseStep RefusalForMissingKey(const RequestId& aRequest)
+{
+  return MakeRefusal(aRequest,
+                     Verdict::NotRun,
+                     400,
+                     "idempotency-key-missing",
+                     "This request is non-idempotent and needs an Idempotency-Key.",
+                     kNever);
+}
+
 RefuseStep RefusalForPinStore(const RequestId& aRequest)
 {
   return MakeRefusal(aRequest,
--- a/modules/skylarkchute_node/requests/Refusals.h
+++ b/modules/skylarkchute_node/requests/Refusals.h
@@ -14,6 +14,7 @@
 RefuseStep RefusalForLeaving(const RequestId& aRequest);
 RefuseStep RefusalForLedgerFull(const RequestId& aRequest);
 RefuseStep RefusalForToken(const RequestId& aRequest, TokenFault aFault);
+RefuseStep RefusalForMissingKey(const RequestId& aRequest);
 RefuseStep RefusalForPinStore(const RequestId& aRequest);
 RefuseStep RefusalForSpentRight(const RequestId& aRequest);
 RefuseStep RefusalForOutdatedStep(const RequestId& aRequest);
--- a/modules/skylarkchute_node/systems/RequestSystem.cpp
+++ b/modules/skylarkchute_node/systems/RequestSystem.cpp
@@ -70,6 +70,10 @@
   }
   const auto& facts = record.mRequest.mFacts;
   if (mParts.mRouter.IsNonIdempotent(facts)) {
+    if (!facts.mHasCallerKey) {
+      Refuse(RefusalForMissingKey(id), aPass);
+      return;
+    }
     record.mRight = RunRight::Needed;
   }
   if (const auto* requestClass = mParts.mFollower.Current()->FindClass(facts.mClass)) {
--- a/tests/skylarkchute_node/NodeFleet.cpp
+++ b/tests/skylarkchute_node/NodeFleet.cpp
@@ -83,9 +83,9 @@
   Run(milliseconds(2000));
 }
 
-void NodeFleet::Run(milliseconds aTime)
+void NodeFleet::Run(milliseconds aDuration)
 {
-  const auto end = mClock.Now() + aTime;
+  const auto end = mClock.Now() + aDuration;
   while (mClock.Now() < end) {
     const auto nextTick = mClock.Now() + kTick;
     while (!mEvents.empty() && mEvents.begin()->first <= nextTick) {
@@ -123,7 +123,7 @@
   NodeRequest request;
   request.mFacts.mService = ServiceName("orders");
   request.mFacts.mKey = RequestKey(aKey);
-  request.mFacts.mHasCallerKey = true;
+  request.mFacts.mHasCallerKey = !aKey.empty();
   request.mFacts.mFingerprint = Fingerprint(aKey);
   return NewRequest(aNode, std::move(request));
 }
@@ -141,9 +141,8 @@
   }
   mSentTo[id] = aNode;
   mSessions[id] = aRequest.mSessionText;
-  Deliver(aNode, [aRequest](Node& aTarget, NodeTime aTime) {
-    return aTarget.OnRequest(aRequest, aTime);
-  });
+  Deliver(aNode,
+          [aRequest](Node& aTarget, NodeTime aAt) { return aTarget.OnRequest(aRequest, aAt); });
   return id;
 }
 
@@ -268,17 +267,16 @@
 void NodeFleet::Watch(int aNode, const ObjectCall& aCall, TimePoint aUntil)
 {
   const auto& watch = std::get<WatchObjects>(aCall.mOperation);
-  const bool isOver = mStore.IsInOutage() || mStore.HasChanged(watch.mPrefix, watch.mAfter) ||
-                      mClock.Now() >= aUntil;
+  const bool isOver =
+    mStore.IsInOutage() || mStore.HasChanged(watch.mPrefix, watch.mAfter) || mClock.Now() >= aUntil;
   After(kWatchPoll, [this, aNode, aCall, aUntil, isOver] {
     if (!isOver) {
       Watch(aNode, aCall, aUntil);
       return;
     }
     const auto reply = mStore.Call(aCall);
-    Deliver(aNode, [reply](Node& aTarget, NodeTime aTime) {
-      return aTarget.OnObjectReply(reply, aTime);
-    });
+    Deliver(aNode,
+            [reply](Node& aTarget, NodeTime aTime) { return aTarget.OnObjectReply(reply, aTime); });
   });
 }
 
@@ -330,9 +328,8 @@
   const PeerReply reply{
     aWaiting.mCall, aWaiting.mTo, aVerdict, aResult.has_value(), aResult.value_or("")
   };
-  Deliver(aWaiting.mFrom, [reply](Node& aTarget, NodeTime aTime) {
-    return aTarget.OnPeerReply(reply, aTime);
-  });
+  Deliver(aWaiting.mFrom,
+          [reply](Node& aTarget, NodeTime aTime) { return aTarget.OnPeerReply(reply, aTime); });
 }
 
 void NodeFleet::Dispatch(int aNode, const DispatchAction& aDispatch)
--- a/tests/skylarkchute_node/PromiseTests.cpp
+++ b/tests/skylarkchute_node/PromiseTests.cpp
@@ -108,6 +108,15 @@
   }
 }
 
+TEST_CASE("an order without an idempotency key is refused before anything runs")
+{
+  NodeFleet fleet(14);
+  const auto request = fleet.SendOrder(0, "");
+  fleet.Run(2s);
+  CHECK(OnlyAnswer(fleet, request).mReason == "idempotency-key-missing");
+  CHECK(fleet.Runs().empty());
+}
+
 TEST_CASE("an order refused by the connection is told not-run and runs when it is sent again")
 {
   NodeFleet fleet(6);
