--- a/tests/skylarkchute_node/NodeFleet.h
+++ b/tests/skylarkchute_node/NodeFleet.h
@@ -74,6 +74,7 @@
   FakeObjectStore& Store() { return mStore; }
   Node& NodeAt(int aNode) { return *mNodes[Index(aNode)]->mNode; }
   TimePoint Now() const { return mClock.Now(); }
+  NodeTime Time() const { return { mClock.Now(), mClock.WallNow() }; }
 
   /** Returns what endpoints ran, in order. */
   const std::vector<EndpointRun>& Runs() const { return mRuns; }
@@ -115,7 +116,6 @@
   using Event = std::function<NodeActions(Node&, NodeTime)>;
 
   static std::size_t Index(int aNode) { return static_cast<std::size_t>(aNode); }
-  NodeTime Time() const { return { mClock.Now(), mClock.WallNow() }; }
   std::chrono::milliseconds Delay(int aLeast, int aMost);
   void After(std::chrono::milliseconds aDelay, std::function<void()> aWork);
   void Deliver(int aNode, const Event& aEvent);
--- a/tests/skylarkchute_node/PromiseTests.cpp
+++ b/tests/skylarkchute_node/PromiseTests.cpp
@@ -162,7 +162,7 @@
 TEST_CASE("a ticket lets an order run once through an outage, at whatever instance it is used")
 {
   NodeFleet fleet(9);
-  const auto issued = fleet.NodeAt(0).IssueTicket("node-test-key", { fleet.Now(), WallTime() });
+  const auto issued = fleet.NodeAt(0).IssueTicket("node-test-key", fleet.Time());
   REQUIRE(std::holds_alternative<std::string>(issued));
   const auto ticket = std::get<std::string>(issued);
   fleet.Store().SetOutage(true);
