--- a/tests/skylarkchute_node/NodeFleet.cpp
+++ b/tests/skylarkchute_node/NodeFleet.cpp
@@ -10,6 +10,7 @@
 
 constexpr milliseconds kTick{ 20 };
 constexpr milliseconds kWatchPoll{ 50 };
+constexpr int kNodesPerExtraEngine = 5;
 constexpr const char* kApiKey = "node-test-key";
 
 /** Sorts node actions to the fakes. */
@@ -55,13 +56,18 @@
          "[service orders]\nidempotent = false\ntimeout = 5s\n";
 }
 
-NodeFleet::NodeFleet(std::uint64_t aSeed, int aNodes) : mRandom(aSeed)
+NodeFleet::NodeFleet(std::uint64_t aSeed, int aNodes, std::chrono::milliseconds aUsageAge)
+  : mRandom(aSeed)
 {
   const std::vector<std::string> zones{ "north", "south", "west" };
   mEndpoints = { Endpoint("engine-1", EndpointKind::Engine, "north"),
                  Endpoint("engine-2", EndpointKind::Engine, "south"),
                  Endpoint("orders-1", EndpointKind::Service, "north"),
                  Endpoint("orders-2", EndpointKind::Service, "west") };
+  for (int n = 0; n < aNodes / kNodesPerExtraEngine; ++n) {
+    const auto id = "engine-" + std::to_string(n + 3);
+    mEndpoints.push_back(Endpoint(id, EndpointKind::Engine, zones[Index(n) % zones.size()]));
+  }
   for (int n = 0; n < aNodes; ++n) {
     auto member = std::make_unique<Member>();
     member->mName = "entry-" + std::to_string(n);
@@ -71,7 +77,7 @@
     options.mIncarnation = MakeIncarnation(options.mInstance, std::to_string(aSeed));
     options.mSeed = aSeed + static_cast<std::uint64_t>(n);
     options.mSecretSeed = "secret" + std::to_string(aSeed) + member->mName;
-    options.mUsageMaxAge = milliseconds(500);
+    options.mUsageMaxAge = aUsageAge;
     member->mNode = std::make_unique<Node>(options);
     mNodes.push_back(std::move(member));
   }
@@ -248,8 +254,19 @@
   }
 }
 
+void NodeFleet::CountTraffic(const std::string& aKind, std::size_t aBytes)
+{
+  auto& count = mTraffic[aKind];
+  ++count.mMessages;
+  count.mBytes += aBytes;
+}
+
 void NodeFleet::CallStore(int aNode, const ObjectCall& aCall)
 {
+  const auto* put = std::get_if<PutObject>(&aCall.mOperation);
+  const auto kind = std::string(put != nullptr ? "store write " : "store read ");
+  CountTraffic(kind + std::string(CallPurposeName(aCall.mPurpose)),
+               put != nullptr ? put->mBody.size() : 0);
   if (const auto* watch = std::get_if<WatchObjects>(&aCall.mOperation)) {
     Watch(aNode, aCall, mClock.Now() + watch->mWait);
     return;
@@ -283,7 +300,8 @@
 void NodeFleet::CallPeer(int aNode, const PeerCall& aCall)
 {
   const auto token = mNextToken++;
-  mWaiting[token] = { aNode, aCall.mId, aCall.mTo };
+  mWaiting[token] = { aNode, aCall.mId, aCall.mTo, aCall.mMethod };
+  CountTraffic(aCall.mMethod, aCall.mParams.size());
   int target = -1;
   for (int n = 0; n < static_cast<int>(mNodes.size()); ++n) {
     if (mNodes[Index(n)]->mName == aCall.mTo.Value() && IsAlive(n)) {
@@ -315,6 +333,7 @@
   After(Delay(1, 3), [this, aAnswer] {
     const auto it = mWaiting.find(aAnswer.mToken);
     if (it != mWaiting.end()) {
+      mTraffic[it->second.mMethod].mBytes += aAnswer.mResult.value_or("").size();
       ReplyToPeer(it->second, Verdict::Ran, aAnswer.mResult);
       mWaiting.erase(it);
     }
--- a/tests/skylarkchute_node/NodeFleet.h
+++ b/tests/skylarkchute_node/NodeFleet.h
@@ -28,6 +28,13 @@
   TimePoint mAt;
 };
 
+/** Messages of one kind: peer calls by method with both payloads, or store calls by purpose. */
+struct TrafficCount
+{
+  std::uint64_t mMessages = 0;
+  std::uint64_t mBytes = 0;
+};
+
 /** The final answer of a request. */
 struct FinalAnswer
 {
@@ -42,7 +49,10 @@
 class NodeFleet
 {
 public:
-  explicit NodeFleet(std::uint64_t aSeed, int aNodes = 3);
+  /** @param aUsageAge  until a usage record's batch is written */
+  explicit NodeFleet(std::uint64_t aSeed,
+                     int aNodes = 3,
+                     std::chrono::milliseconds aUsageAge = std::chrono::milliseconds(500));
 
   /** Lets time pass. */
   void Run(std::chrono::milliseconds aTime);
@@ -88,6 +98,9 @@
   /** Returns the node that a request was sent to. */
   int NodeOf(const std::string& aRequest) const { return mSentTo.at(aRequest); }
 
+  /** Returns what all nodes sent since the start, by method or `store PURPOSE`. */
+  const std::map<std::string, TrafficCount>& Traffic() const { return mTraffic; }
+
   /** Returns the generation in force at a node. */
   Generation GenerationAt(int aNode);
 
@@ -111,6 +124,7 @@
     int mFrom = 0;
     std::uint64_t mCall = 0;
     InstanceId mTo;
+    std::string mMethod;
   };
 
   using Event = std::function<NodeActions(Node&, NodeTime)>;
@@ -128,6 +142,7 @@
   void Dispatch(int aNode, const DispatchAction& aDispatch);
   void EndAttempt(int aNode, const DispatchStep& aStep, AttemptOutcome aOutcome, std::string aBody);
   void ListInstances();
+  void CountTraffic(const std::string& aKind, std::size_t aBytes);
   void Answered(const RequestId& aRequest, FinalAnswer aAnswer);
   std::string NewRequest(int aNode, NodeRequest aRequest);
 
@@ -140,6 +155,7 @@
   std::map<std::uint64_t, Waiting> mWaiting; /**< Requests of peers, by token. */
   std::uint64_t mNextToken = 1;
   std::vector<EndpointRun> mRuns;
+  std::map<std::string, TrafficCount> mTraffic;
   std::map<std::string, std::vector<FinalAnswer>> mAnswers;
   std::map<std::string, int> mSentTo;
   std::map<std::string, std::string> mSessions;
