A backup holds usage records longer than their owner takes to write them

Cause: store writes for usage were 0.37 a second an instance where one batch in 5 s gives 0.20. A backup wrote what it held after 5 s, which is also the age at which owners seal their batches, so that most batches were written twice. Ruled out: retries of the owner, which would show as failed calls. Change: the node sets the hold time to the batch age and 10 s. Conclusion: the bill of a dead instance is written 15 s after its last record instead of 5 s.

--- a/modules/skylarkchute_node/state/NodeParts.cpp
+++ b/modules/skylarkchute_node/state/NodeParts.cpp
@@ -8,6 +8,10 @@
     store nor any peer answers. */
 constexpr std::chrono::milliseconds kLongestUsageWait{ 8000 };
 
+/** A backup holds records this much longer than their owner takes to write them, so that it writes
+    only what an owner has left behind. */
+constexpr std::chrono::seconds kUsageHoldMargin{ 10 };
+
 RouterOptions RouterOptionsOf(const NodeOptions& aOptions)
 {
   RouterOptions options;
@@ -59,6 +63,8 @@
   options.mZone = aOptions.mZone;
   options.mMostBatchAge = aOptions.mUsageMaxAge;
   options.mLongestWait = kLongestUsageWait;
+  options.mLongestHold =
+    std::chrono::ceil<std::chrono::seconds>(aOptions.mUsageMaxAge) + kUsageHoldMargin;
   return options;
 }
 
