A stop leaves nothing: held records, outcomes of claims; a bill line always names its model

First, a stopped instance exited with 1: since backups hold records for 15 s, those of the killed instance were not written within the 10 s of a stop. Second, an order that the killed instance had run was billed without its service's name, since the resend that answered may-have-run had never been dispatched itself. A read-through found a third: an instance counted as drained while the outcome of an order was not durable. Change: Flush writes what is held for peers; a dispatch step names the model even while it is held back; an instance is drained only when the outcomes of its claims are durable. A test for each.

--- a/modules/skylarkchute_ledger/claims/ClaimDesk.h
+++ b/modules/skylarkchute_ledger/claims/ClaimDesk.h
@@ -61,6 +61,10 @@
   /** Drives questions to running claimants, deadlines and retries. */
   ClaimOutput Tick(TimePoint aNow, WallTime aWallNow);
 
+  /** Returns whether the outcome of a claim of this incarnation is not durable yet; a resend could
+      not be answered from it after the end of this incarnation. */
+  bool HasUnsavedOutcome() const { return !mUnsaved.empty(); }
+
   /** Returns the number of claims of this incarnation in memory. */
   std::size_t RememberedCount() const { return mOwn.size(); }
 
--- a/modules/skylarkchute_ledger/usage/UsageLedger.cpp
+++ b/modules/skylarkchute_ledger/usage/UsageLedger.cpp
@@ -357,6 +357,9 @@
 UsageOutput UsageLedger::Flush(TimePoint aNow)
 {
   UsageOutput output;
+  for (auto& [key, held] : mHeld) {
+    WriteHeld(key, held);
+  }
   Seal(aNow);
   Advance(aNow, output);
   return output;
--- a/modules/skylarkchute_ledger/usage/UsageLedger.h
+++ b/modules/skylarkchute_ledger/usage/UsageLedger.h
@@ -86,7 +86,7 @@
   /** Drives ages and retries. */
   UsageOutput Tick(TimePoint aNow);
 
-  /** Seals everything now, before a stop. */
+  /** Seals everything and writes what is held for peers now, before a stop. */
   UsageOutput Flush(TimePoint aNow);
 
   /** Returns whether every record, own and held, is durable or was dropped by its owner. */
--- a/modules/skylarkchute_node/Node.cpp
+++ b/modules/skylarkchute_node/Node.cpp
@@ -305,7 +305,8 @@
 
 bool Node::IsDrained() const
 {
-  return InFlight() == 0 && mState->mParts.mUsage.IsDrained();
+  const auto& parts = mState->mParts;
+  return InFlight() == 0 && parts.mUsage.IsDrained() && !parts.mClaims.HasUnsavedOutcome();
 }
 
 std::size_t Node::InFlight() const
--- a/modules/skylarkchute_node/Node.h
+++ b/modules/skylarkchute_node/Node.h
@@ -74,7 +74,8 @@
   /** Writes every usage record out. Call when no request is under way. */
   NodeActions Flush(NodeTime aTime);
 
-  /** Returns whether no request is under way and every usage record is durable or dropped. */
+  /** Returns whether no request is under way, every usage record is durable or dropped, and every
+      outcome of a claim is durable. */
   bool IsDrained() const;
 
   /** Returns how many requests are under way. */
--- a/modules/skylarkchute_node/requests/RequestRecord.h
+++ b/modules/skylarkchute_node/requests/RequestRecord.h
@@ -31,7 +31,7 @@
   std::map<AttemptId, VersionId> mVersions; /**< Of each dispatched attempt. */
   std::map<AttemptId, AttemptOutcome> mOutcomes;
   AnswerContent mLastContent;
-  std::string mLastModel;              /**< `MODEL/NAME` or service of the last dispatch. */
+  std::string mLastModel;              /**< `MODEL/NAME` or service of the last dispatch step. */
   bool mDispatched = false;            /**< At least one attempt was dispatched. */
   std::optional<AttemptId> mFinishing; /**< Its answer ends once the usage record is safe. */
   bool mCallerLeft = false;
--- a/modules/skylarkchute_node/systems/RequestSystem.cpp
+++ b/modules/skylarkchute_node/systems/RequestSystem.cpp
@@ -183,6 +183,9 @@
     return;
   }
   record->mHeld = aStep;
+  const auto& service = record->mRequest.mFacts.mService;
+  record->mLastModel =
+    aStep.mVersion ? aStep.mVersion->Value() : service.value_or(ServiceName()).Value();
   if (record->mSessionToPin && aStep.mVersion) {
     AskPin(*record, aPass);
   } else if (record->mRight == RunRight::Needed) {
@@ -293,8 +296,6 @@
   }
   aRecord.mHeld.reset();
   aRecord.mDispatched = true;
-  aRecord.mLastModel =
-    aStep.mVersion ? aStep.mVersion->Value() : facts.mService.value_or(ServiceName()).Value();
   if (aStep.mVersion) {
     aRecord.mVersions[aStep.mAttempt] = *aStep.mVersion;
   }
--- a/tests/skylarkchute_node/NodeFleet.cpp
+++ b/tests/skylarkchute_node/NodeFleet.cpp
@@ -152,6 +152,11 @@
   return id;
 }
 
+void NodeFleet::Flush(int aNode)
+{
+  Deliver(aNode, [](Node& aTarget, NodeTime aTime) { return aTarget.Flush(aTime); });
+}
+
 void NodeFleet::Kill(int aNode)
 {
   mNodes[Index(aNode)]->mAlive = false;
--- a/tests/skylarkchute_node/NodeFleet.h
+++ b/tests/skylarkchute_node/NodeFleet.h
@@ -66,6 +66,9 @@
   /** Sends a non-idempotent order; returns its id. */
   std::string SendOrder(int aNode, const std::string& aKey);
 
+  /** Has a node write its records out, as before a stop. */
+  void Flush(int aNode);
+
   void Kill(int aNode);
   void Pause(int aNode);
   void Resume(int aNode);
--- a/tests/skylarkchute_node/PromiseTests.cpp
+++ b/tests/skylarkchute_node/PromiseTests.cpp
@@ -193,6 +193,10 @@
     CHECK(fleet.RunsOfKey("order") <= 1);
     if (ranBefore == 1) {
       CHECK(OnlyAnswer(fleet, request).mVerdict != Verdict::NotRun);
+      REQUIRE_FALSE(fleet.Billed().empty());
+    }
+    for (const auto& it : fleet.Billed()) {
+      CHECK(it.mModel == "orders");
     }
   }
 }
@@ -262,6 +266,45 @@
   CHECK(billed == 1);
 }
 
+TEST_CASE("an instance is drained only once the outcomes of its orders can answer a resend")
+{
+  NodeFleet fleet(15);
+  fleet.SendOrder(0, "order");
+  while (fleet.RunsOfKey("order") == 0) {
+    fleet.Run(20ms);
+  }
+  fleet.Store().SetFaults([](const ObjectCall& aCall) {
+    return aCall.mPurpose == CallPurpose::Claim ? StoreFault::Unavailable : StoreFault::None;
+  });
+  fleet.Run(3s);
+  REQUIRE(fleet.Billed().size() == 1);
+  CHECK_FALSE(fleet.NodeAt(0).IsDrained());
+  fleet.Store().SetFaults({});
+  fleet.Run(5s);
+  REQUIRE(fleet.NodeAt(0).IsDrained());
+  fleet.Kill(0);
+  fleet.Run(4s);
+  const auto second = fleet.SendOrder(1, "order");
+  fleet.Run(4s);
+  CHECK(OnlyAnswer(fleet, second).mKind == "replay");
+  CHECK(fleet.RunsOfKey("order") == 1);
+}
+
+TEST_CASE("a stopping backup writes what it holds for a killed instance at once")
+{
+  NodeFleet fleet(16, 2);
+  const auto request = fleet.SendChat(0);
+  while (fleet.Answers().count(request) == 0) {
+    fleet.Run(20ms);
+  }
+  fleet.Kill(0);
+  fleet.Flush(1);
+  fleet.Run(1s);
+  CHECK(fleet.NodeAt(1).IsDrained());
+  REQUIRE(fleet.Billed().size() == 1);
+  CHECK(fleet.Billed().front().mRequest.Value() == request);
+}
+
 TEST_CASE("the generation never goes back, whatever the store shows after an outage")
 {
   NodeFleet fleet(13);
