The demonstration's clean-up ignores how stopped processes ended

Change: the clean-up does not take over exit codes; the fleet test still checks those of both instances.

--- a/tests/fleet/fleet.sh
+++ b/tests/fleet/fleet.sh
@@ -124,11 +124,11 @@
 stop_fleet() {
   local it
   for it in "${pids[@]}"; do
-    kill -CONT "$it" 2>/dev/null
-    kill -TERM "$it" 2>/dev/null
+    kill -CONT "$it" 2>/dev/null || true
+    kill -TERM "$it" 2>/dev/null || true
   done
   for it in "${pids[@]}"; do
-    wait "$it" 2>/dev/null
+    wait "$it" 2>/dev/null || true
   done
   rm -rf "$work"
 }
