--- a/app/Commands.cpp
+++ b/app/Commands.cpp
@@ -6,6 +6,7 @@
 #include "events/EventCatalogue.h"
 #include "ledger/UsageCommand.h"
 #include "platform/PlatformOption.h"
+#include "relay/RelayCommand.h"
 #include "serve/ServeCommand.h"
 #include "status/StatusCommand.h"
 
@@ -80,6 +81,9 @@
     { "serve",
       "run one entry instance",
       [](const Arguments& aRest) { return RunServeCommand(aRest, std::cout, std::cerr); } },
+    { "relay",
+      "run one relay in front of the users' platform",
+      [](const Arguments& aRest) { return RunRelayCommand(aRest, std::cout, std::cerr); } },
     { "check",
       "validate settings and bundles",
       [](const Arguments& aRest) { return RunCheckCommand(aRest, std::cout, std::cerr); } },
--- a/app/events/EventCatalogue.cpp
+++ b/app/events/EventCatalogue.cpp
@@ -6,6 +6,7 @@
 #include <skylarkchute_entry/skylarkchute_entry.h>
 #include <skylarkchute_node/skylarkchute_node.h>
 #include <skylarkchute_platform/skylarkchute_platform.h>
+#include <skylarkchute_relay/skylarkchute_relay.h>
 
 #include <algorithm>
 
@@ -43,7 +44,8 @@
                           EndpointsEvents(),
                           EntryEvents(),
                           NodeEvents(),
-                          ServeEvents() }) {
+                          ServeEvents(),
+                          RelayEvents() }) {
     all.insert(all.end(), it.begin(), it.end());
   }
   std::sort(all.begin(), all.end(), [](const auto* aLeft, const auto* aRight) {
--- a/modules/skylarkchute_peers/rpc/JsonRpc.cpp
+++ b/modules/skylarkchute_peers/rpc/JsonRpc.cpp
@@ -68,6 +68,60 @@
   return outcome;
 }
 
+namespace {
+
+/** Takes the library's request text instead of sending it, and gives it a text as the answer. The
+    library's own protocol class is not among its installed headers. */
+class HeldMessageConnector final : public jsonrpc::IClientConnector
+{
+public:
+  explicit HeldMessageConnector(const std::string& aAnswer) : mAnswer(aAnswer) {}
+
+  void SendRPCMessage(const std::string& aMessage,
+                      std::string& aResult) throw(jsonrpc::JsonRpcException) override
+  {
+    mRequest = aMessage;
+    aResult = mAnswer;
+  }
+
+  const std::string& Request() const { return mRequest; }
+
+private:
+  std::string mAnswer;
+  std::string mRequest;
+};
+
+/** An answer that the library accepts. */
+constexpr const char* kEmptyAnswer = R"({"jsonrpc":"2.0","id":1,"result":{}})";
+
+} // namespace
+
+std::string BuildJsonRpcRequest(const std::string& aMethod, const std::string& aParams)
+{
+  Json::Value params;
+  if (!FromText(aParams, params)) {
+    params = Json::Value(Json::objectValue);
+  }
+  HeldMessageConnector connector(kEmptyAnswer);
+  jsonrpc::Client client(connector, jsonrpc::JSONRPC_CLIENT_V2);
+  client.CallMethod(aMethod, params);
+  return connector.Request();
+}
+
+JsonRpcResult ReadJsonRpcResponse(const std::string& aText)
+{
+  JsonRpcResult outcome;
+  HeldMessageConnector connector(aText);
+  jsonrpc::Client client(connector, jsonrpc::JSONRPC_CLIENT_V2);
+  try {
+    outcome.mResult = ToText(client.CallMethod("answer", Json::Value(Json::objectValue)));
+    outcome.mOk = true;
+  } catch (const jsonrpc::JsonRpcException& error) {
+    outcome.mError = error.GetMessage();
+  }
+  return outcome;
+}
+
 /** Connects the library's request decoder with the handler. */
 class JsonRpcDispatcher::Invocation final : public jsonrpc::IProcedureInvokationHandler
 {
--- a/modules/skylarkchute_peers/rpc/JsonRpc.h
+++ b/modules/skylarkchute_peers/rpc/JsonRpc.h
@@ -32,6 +32,13 @@
                           const std::string& aMethod,
                           const std::string& aParams);
 
+/** Returns the text of one JSON-RPC 2.0 request, for a caller that carries messages itself.
+    @param aParams  JSON object text */
+std::string BuildJsonRpcRequest(const std::string& aMethod, const std::string& aParams);
+
+/** Reads the text of one JSON-RPC 2.0 answer. */
+JsonRpcResult ReadJsonRpcResponse(const std::string& aText);
+
 /** Decodes JSON-RPC 2.0 requests and hands them to one handler. Safe to use from several threads.
 
     The libjsonrpccpp headers have dynamic exception specifications, which C++17 removed. They are
--- /dev/null
+++ b/modules/skylarkchute_relay/callers/CallerServer.cpp
@@ -0,0 +1,86 @@
+#include "CallerServer.h"
+
+namespace skylarkchute {
+
+namespace {
+
+constexpr int kBacklog = 1024;
+
+/** Pause after a connection could not be accepted, as when descriptors have run out. */
+constexpr std::chrono::milliseconds kAcceptPause{ 50 };
+
+} // namespace
+
+CallerServer::CallerServer(RelayContext& aContext)
+  : mContext(aContext)
+  , mAcceptor(aContext.mLoop)
+  , mRetryTimer(aContext.mLoop)
+{
+}
+
+bool CallerServer::Listen(const boost::asio::ip::tcp::endpoint& aAddress)
+{
+  boost::system::error_code ec;
+  mAcceptor.open(aAddress.protocol(), ec);
+  mAcceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
+  mAcceptor.bind(aAddress, ec);
+  if (!ec) {
+    mAcceptor.listen(kBacklog, ec);
+  }
+  if (ec) {
+    return false;
+  }
+  Accept();
+  return true;
+}
+
+void CallerServer::Accept()
+{
+  mAcceptor.async_accept([this](const boost::system::error_code& aError,
+                                boost::asio::ip::tcp::socket aSocket) {
+    if (!mAcceptor.is_open()) {
+      return;
+    }
+    if (aError) {
+      mRetryTimer.expires_after(kAcceptPause);
+      mRetryTimer.async_wait([this](const boost::system::error_code& aCancelled) {
+        if (!aCancelled && mAcceptor.is_open()) {
+          Accept();
+        }
+      });
+      return;
+    }
+    const auto session = std::make_shared<CallerConnection>(
+      mContext, std::move(aSocket), [this](CallerConnection* aEnded) { mSessions.erase(aEnded); });
+    mSessions.emplace(session.get(), session);
+    session->Start();
+    Accept();
+  });
+}
+
+void CallerServer::StopAccepting()
+{
+  boost::system::error_code ec;
+  mAcceptor.close(ec);
+  mRetryTimer.cancel();
+}
+
+void CallerServer::CloseIdle()
+{
+  const auto sessions = mSessions;
+  for (const auto& [session, owner] : sessions) {
+    owner->CloseIfIdle();
+  }
+}
+
+bool CallerServer::IsBusy() const
+{
+  for (const auto& [session, owner] : mSessions) {
+    if (owner->IsBusy()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_relay/callers/ControlServer.cpp
@@ -0,0 +1,162 @@
+#include "ControlServer.h"
+
+#include "../net/SocketOptions.h"
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace skylarkchute {
+
+namespace {
+
+namespace asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+
+constexpr std::uint32_t kMostHeadBytes = 16 * 1024;
+constexpr std::uint32_t kMostBodyBytes = 8 * 1024 * 1024;
+constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::chrono::seconds kIdleTimeout{ 30 };
+
+} // namespace
+
+/** One connection. Keeps itself alive while it waits for the network. */
+class ControlServer::Session : public std::enable_shared_from_this<ControlServer::Session>
+{
+public:
+  Session(asio::ip::tcp::socket aSocket, std::shared_ptr<Handler> aHandler)
+    : mSocket(std::move(aSocket))
+    , mTimer(mSocket.get_executor())
+    , mHandler(std::move(aHandler))
+  {
+  }
+
+  void Start()
+  {
+    TuneSocket(mSocket);
+    mReader = std::make_unique<RequestReader>(kMostHeadBytes, kMostBodyBytes);
+    Wait();
+  }
+
+private:
+  void Wait()
+  {
+    mTimer.expires_after(kIdleTimeout);
+    mTimer.async_wait([self = shared_from_this()](const ErrorCode& aError) {
+      if (!aError) {
+        self->Close();
+      }
+    });
+    mSocket.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const ErrorCode& aError) { self->OnReadable(aError); });
+  }
+
+  void OnReadable(ErrorCode aError)
+  {
+    std::array<char, kReadBytes> buffer;
+    const auto count = aError ? 0 : mSocket.read_some(asio::buffer(buffer), aError);
+    if (aError == asio::error::would_block) {
+      Wait();
+      return;
+    }
+    if (aError) {
+      Close();
+      return;
+    }
+    mReceived.append(buffer.data(), count);
+    Parse();
+  }
+
+  void Parse()
+  {
+    const auto taken = mReader->Feed(mReceived);
+    mReceived.erase(0, taken);
+    if (mReader->Fault() != RequestFault::None) {
+      Close();
+      return;
+    }
+    if (!mReader->IsDone()) {
+      Wait();
+      return;
+    }
+    mKeeps = mReader->KeepsConnection();
+    const auto answer = (*mHandler)({ mReader->Method(), mReader->Target(), mReader->TakeBody() });
+    mOutgoing = "HTTP/1.1 " + std::to_string(answer.mStatus) +
+                " -\r\nContent-Type: " + answer.mContentType +
+                "\r\nContent-Length: " + std::to_string(answer.mBody.size()) +
+                (mKeeps ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n") + answer.mBody;
+    asio::async_write(mSocket,
+                      asio::buffer(mOutgoing),
+                      [self = shared_from_this()](const ErrorCode& aError, std::size_t) {
+                        self->OnWritten(aError);
+                      });
+  }
+
+  void OnWritten(const ErrorCode& aError)
+  {
+    if (aError || !mKeeps) {
+      Close();
+      return;
+    }
+    mReader = std::make_unique<RequestReader>(kMostHeadBytes, kMostBodyBytes);
+    if (mReceived.empty()) {
+      Wait();
+    } else {
+      Parse();
+    }
+  }
+
+  void Close()
+  {
+    ErrorCode ec;
+    mTimer.cancel();
+    mSocket.close(ec);
+  }
+
+  asio::ip::tcp::socket mSocket;
+  asio::steady_timer mTimer;
+  std::shared_ptr<Handler> mHandler;
+  std::unique_ptr<RequestReader> mReader;
+  std::string mReceived;
+  std::string mOutgoing;
+  bool mKeeps = true;
+};
+
+ControlServer::ControlServer(asio::io_context& aContext, Handler aHandler)
+  : mContext(aContext)
+  , mHandler(std::make_shared<Handler>(std::move(aHandler)))
+  , mAcceptor(aContext)
+{
+}
+
+bool ControlServer::Listen(const asio::ip::tcp::endpoint& aAddress)
+{
+  ErrorCode ec;
+  mAcceptor.open(aAddress.protocol(), ec);
+  mAcceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  mAcceptor.bind(aAddress, ec);
+  if (!ec) {
+    mAcceptor.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return false;
+  }
+  Accept();
+  return true;
+}
+
+void ControlServer::Accept()
+{
+  mAcceptor.async_accept([this](const ErrorCode& aError, asio::ip::tcp::socket aSocket) {
+    if (!mAcceptor.is_open()) {
+      return;
+    }
+    if (!aError) {
+      std::make_shared<Session>(std::move(aSocket), mHandler)->Start();
+    }
+    Accept();
+  });
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_relay/events/RelayEvents.cpp
@@ -0,0 +1,14 @@
+#include "RelayEvents.h"
+
+namespace skylarkchute {
+
+std::vector<const EventDescription*> RelayEvents()
+{
+  return { &kRelayStarted,     &kRelayReady,         &kRelayStopping,      &kRelayStopped,
+           &kSettingsReloaded, &kSettingsRefused,    &kProcessPaused,      &kConfigInForce,
+           &kObjectIgnored,    &kEndpointChanged,    &kRolloutChanged,     &kRolloutStopped,
+           &kStoreLost,        &kStoreRegained,      &kStoreWrite,         &kPeerLost,
+           &kPeerRegained,     &kRelayAttemptFailed, &kRelayRequestRefused };
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_relay/http/RequestReader.cpp
@@ -0,0 +1,53 @@
+#include "RequestReader.h"
+
+#include "ParserFeed.h"
+
+namespace skylarkchute {
+
+namespace http = boost::beast::http;
+
+RequestReader::RequestReader(std::uint32_t aMostHeadBytes, std::uint32_t aMostBodyBytes)
+  : mParser(std::make_unique<Parser>())
+{
+  mParser->eager(true);
+  mParser->header_limit(aMostHeadBytes);
+  mParser->body_limit(aMostBodyBytes);
+}
+
+std::size_t RequestReader::Feed(std::string_view aBytes)
+{
+  boost::system::error_code ec;
+  const auto taken = FeedParser(*mParser, aBytes, ec);
+  if (ec == http::error::header_limit) {
+    mFault = RequestFault::HeadTooLarge;
+  } else if (ec == http::error::body_limit) {
+    mFault = RequestFault::BodyTooLarge;
+  } else if (ec) {
+    mFault = RequestFault::Malformed;
+  }
+  return taken;
+}
+
+bool RequestReader::ExpectsContinue() const
+{
+  return boost::beast::iequals(mParser->get()[http::field::expect], "100-continue");
+}
+
+std::string RequestReader::Method() const
+{
+  return std::string(mParser->get().method_string());
+}
+
+std::string RequestReader::Target() const
+{
+  return std::string(mParser->get().target());
+}
+
+std::string RequestReader::TakeBody()
+{
+  std::string body;
+  body.swap(mParser->get().body());
+  return body;
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_relay/net/ClientConnection.cpp
@@ -0,0 +1,284 @@
+#include "ClientConnection.h"
+
+#include "SocketOptions.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/field.hpp>
+#include <skylarkchute_core/skylarkchute_core.h>
+
+#include <array>
+
+namespace skylarkchute {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kReadBytes = 64 * 1024;
+
+/** Shared by all connections of the loop: bytes are parsed before the next read. */
+std::array<char, kReadBytes>& ReadBuffer()
+{
+  static std::array<char, kReadBytes> buffer;
+  return buffer;
+}
+
+/** Reads `timeout=N` of a Keep-Alive field. */
+std::chrono::seconds KeepAliveTimeout(boost::beast::string_view aField)
+{
+  constexpr std::string_view kParameter = "timeout=";
+  const std::string_view field(aField.data(), aField.size());
+  const auto start = field.find(kParameter);
+  if (start == std::string_view::npos) {
+    return std::chrono::seconds(0);
+  }
+  const auto rest = field.substr(start + kParameter.size());
+  const auto digits = rest.substr(0, rest.find_first_not_of("0123456789"));
+  return std::chrono::seconds(ReadCount(digits).value_or(0));
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(asio::io_context& aContext,
+                                   std::chrono::milliseconds aConnectTimeout)
+  : mSocket(aContext)
+  , mConnectTimer(aContext)
+  , mConnectTimeout(aConnectTimeout)
+{
+}
+
+void ClientConnection::Send(const asio::ip::tcp::endpoint& aAddress,
+                            std::string aHead,
+                            std::shared_ptr<const std::string> aBody,
+                            const std::shared_ptr<AnswerListener>& aListener)
+{
+  mHead = std::move(aHead);
+  mBody = std::move(aBody);
+  mListener = aListener;
+  mReader = std::make_unique<AnswerReader>();
+  mPending.clear();
+  mOnIdleClosed = nullptr;
+  mHasChosen = false;
+  mIsSkipped = false;
+  mIsBusy = true;
+  if (mIsOpen) {
+    Write();
+    return;
+  }
+  mConnectTimer.expires_after(mConnectTimeout);
+  mConnectTimer.async_wait([self = shared_from_this()](const ErrorCode& aError) {
+    if (!aError && !self->mIsOpen) {
+      self->Lose(ConnectionLoss::NotConnected);
+    }
+  });
+  mSocket.async_connect(
+    aAddress, [self = shared_from_this()](const ErrorCode& aError) { self->OnConnected(aError); });
+}
+
+void ClientConnection::OnConnected(const ErrorCode& aError)
+{
+  if (!mIsBusy) {
+    return;
+  }
+  mConnectTimer.cancel();
+  if (aError) {
+    Lose(ConnectionLoss::NotConnected);
+    return;
+  }
+  TuneSocket(mSocket);
+  mIsOpen = true;
+  Write();
+}
+
+void ClientConnection::Write()
+{
+  if (const auto listener = mListener.lock()) {
+    listener->OnSent();
+  }
+  mIsWriting = true;
+  std::array<asio::const_buffer, 2> buffers{ asio::buffer(mHead),
+                                             mBody ? asio::buffer(*mBody) : asio::const_buffer() };
+  asio::async_write(mSocket, buffers, [self = shared_from_this()](const ErrorCode&, std::size_t) {
+    // A failed write shows as the end of the connection when reading; an answer may precede it.
+    self->mIsWriting = false;
+  });
+  WaitForBytes();
+}
+
+void ClientConnection::WaitForBytes()
+{
+  if (mIsReading || !mIsOpen) {
+    return;
+  }
+  mIsReading = true;
+  mSocket.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](const ErrorCode& aError) {
+                       self->mIsReading = false;
+                       self->OnReadable(aError);
+                     });
+}
+
+void ClientConnection::OnReadable(const ErrorCode& aError)
+{
+  if (!mIsOpen || aError == asio::error::operation_aborted) {
+    return;
+  }
+  ErrorCode ec = aError;
+  auto& buffer = ReadBuffer();
+  const auto count = ec ? 0 : mSocket.read_some(asio::buffer(buffer), ec);
+  if (ec == asio::error::would_block || ec == asio::error::try_again) {
+    WaitForBytes();
+    return;
+  }
+  if (ec) {
+    OnEnd(ec == asio::error::eof);
+    return;
+  }
+  if (!mIsBusy) {
+    // Bytes that no request asked for.
+    OnEnd(false);
+    return;
+  }
+  if (mPending.empty()) {
+    Parse({ buffer.data(), count });
+  } else {
+    mPending.append(buffer.data(), count);
+    std::string bytes;
+    bytes.swap(mPending);
+    Parse(bytes);
+  }
+  WaitForBytes();
+}
+
+void ClientConnection::Parse(std::string_view aBytes)
+{
+  const auto self = shared_from_this();
+  while (mIsBusy && !aBytes.empty()) {
+    const auto taken = mReader->Feed(aBytes);
+    aBytes.remove_prefix(taken);
+    if (mReader->IsBroken()) {
+      Lose(ConnectionLoss::Malformed);
+      return;
+    }
+    if (!TakeHead()) {
+      return;
+    }
+    if (mReader->IsDone()) {
+      // Bytes after a whole answer make the connection unfit for another request.
+      if (!mIsSkipped && !aBytes.empty()) {
+        mIsOpen = false;
+      }
+      if (FinishAnswer()) {
+        return;
+      }
+    } else if (taken == 0) {
+      break;
+    }
+  }
+  if (mIsBusy) {
+    mPending.assign(aBytes);
+  }
+}
+
+/** Shows the listener the head and the body read so far.
+    @returns false when the connection has left the listener */
+bool ClientConnection::TakeHead()
+{
+  constexpr unsigned kFirstFinalStatus = 200;
+  if (!mReader->HasHead()) {
+    return true;
+  }
+  const auto listener = mListener.lock();
+  if (!listener) {
+    Close();
+    return false;
+  }
+  if (!mHasChosen) {
+    mHasChosen = true;
+    mIdleTimeout = KeepAliveTimeout(mReader->Fields()[boost::beast::http::field::keep_alive]);
+    mIsSkipped =
+      mReader->Status() < kFirstFinalStatus || listener->OnHead(*mReader) == HeadChoice::Skip;
+  }
+  if (!mIsBusy) {
+    return false;
+  }
+  auto body = mReader->TakeBody();
+  if (!mIsSkipped && !body.empty()) {
+    listener->OnBody(std::move(body));
+  }
+  return mIsBusy;
+}
+
+/** Ends the answer that was read. @returns whether it was the listener's */
+bool ClientConnection::FinishAnswer()
+{
+  if (mIsSkipped) {
+    mReader = std::make_unique<AnswerReader>();
+    mHasChosen = false;
+    mIsSkipped = false;
+    return false;
+  }
+  const bool reusable = mIsOpen && mReader->KeepsConnection() && !mIsWriting;
+  mIsBusy = false;
+  const auto listener = mListener.lock();
+  mListener.reset();
+  if (!reusable) {
+    Close();
+  }
+  if (listener) {
+    listener->OnDone(reusable);
+  }
+  return true;
+}
+
+void ClientConnection::OnEnd(bool aInOrder)
+{
+  const auto self = shared_from_this();
+  if (!mIsBusy) {
+    const auto onClosed = std::move(mOnIdleClosed);
+    mOnIdleClosed = nullptr;
+    Close();
+    if (onClosed) {
+      onClosed();
+    }
+    return;
+  }
+  if (aInOrder && mReader->HasHead() && !mIsSkipped) {
+    mReader->FeedEnd();
+    if (!mReader->IsBroken() && mReader->IsDone()) {
+      mIsOpen = false;
+      FinishAnswer();
+      return;
+    }
+  }
+  Lose(ConnectionLoss::Closed);
+}
+
+void ClientConnection::Lose(ConnectionLoss aLoss)
+{
+  const auto self = shared_from_this();
+  const auto listener = mListener.lock();
+  Close();
+  if (listener) {
+    listener->OnLost(aLoss);
+  }
+}
+
+void ClientConnection::Close()
+{
+  mIsOpen = false;
+  mIsBusy = false;
+  mListener.reset();
+  mOnIdleClosed = nullptr;
+  mConnectTimer.cancel();
+  ErrorCode ec;
+  mSocket.close(ec);
+}
+
+void ClientConnection::WatchIdle(std::function<void()> aOnClosed)
+{
+  mOnIdleClosed = std::move(aOnClosed);
+  WaitForBytes();
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_relay/requests/RelayContext.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "../endpoints/EndpointPool.h"
+
+#include <boost/asio/io_context.hpp>
+#include <skylarkchute_routing/skylarkchute_routing.h>
+
+namespace skylarkchute {
+
+/** What the parts of one relay share. Owned by the runtime, which outlives them. */
+struct RelayContext
+{
+  boost::asio::io_context& mLoop;
+  FleetRouter& mRouter;
+  EndpointPool& mPool;
+  const EventLog& mLog;
+  MetricsRegistry& mMetrics;
+  const bool& mIsLeaving; /**< Set once the process was told to stop. */
+};
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_relay/runtime/FleetSync.cpp
@@ -0,0 +1,144 @@
+#include "FleetSync.h"
+
+#include "../events/RelayEvents.h"
+
+namespace skylarkchute {
+
+namespace {
+
+/** Entries lapse in a store outage and come back soon after it; until then a removal says
+    little. */
+constexpr std::chrono::milliseconds kLapsePeriod{ 3000 };
+
+/** The operator's one object of its kind. */
+constexpr const char* kConfigName = "main";
+
+std::string_view StateName(RolloutState aState)
+{
+  switch (aState) {
+    case RolloutState::Running:
+      return "running";
+    case RolloutState::Completed:
+      return "completed";
+    case RolloutState::RolledBack:
+      return "rolled-back";
+  }
+  return "running";
+}
+
+TimePoint Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+FleetSync::FleetSync(FleetRouter& aRouter, EndpointPool& aPool, const EventLog& aLog)
+  : mRouter(aRouter)
+  , mPool(aPool)
+  , mLog(aLog)
+{
+}
+
+void FleetSync::OnObject(ObjectKind aKind, const StoreObject& aObject)
+{
+  switch (aKind) {
+    case ObjectKind::Config:
+      OnConfig(aObject);
+      return;
+    case ObjectKind::Endpoints:
+      OnEndpoint(aObject);
+      return;
+    case ObjectKind::Rollouts:
+      OnRollout(aObject);
+      return;
+    case ObjectKind::Instances:
+      OnInstance(aObject);
+      return;
+  }
+}
+
+void FleetSync::Ignore(ObjectKind aKind, const StoreObject& aObject)
+{
+  mLog.Write({ &kObjectIgnored,
+               { { "kind", std::string(KindName(aKind)) },
+                 { "name", aObject.mName },
+                 { "revision", std::to_string(aObject.mRevision) } } });
+}
+
+void FleetSync::OnConfig(const StoreObject& aObject)
+{
+  if (aObject.mName != kConfigName || aObject.mIsDeleted) {
+    return;
+  }
+  auto config = DecodeConfig(aObject);
+  if (!config) {
+    Ignore(ObjectKind::Config, aObject);
+    return;
+  }
+  const auto& current = mRouter.Config();
+  if (current && config->mVersion < current->Config().mVersion) {
+    return;
+  }
+  mLog.Write({ &kConfigInForce,
+               { { "version", std::to_string(config->mVersion) },
+                 { "revision", std::to_string(aObject.mRevision) },
+                 { "routes", std::to_string(config->mRoutes.size()) } } });
+  mRouter.SetConfig(std::make_shared<const ConfigIndex>(std::move(*config)));
+}
+
+void FleetSync::OnEndpoint(const StoreObject& aObject)
+{
+  const EndpointId id(aObject.mName);
+  const auto endpoint = aObject.mIsDeleted ? std::nullopt : DecodeEndpoint(aObject);
+  if (!aObject.mIsDeleted && !endpoint) {
+    Ignore(ObjectKind::Endpoints, aObject);
+  }
+  if (!endpoint) {
+    const bool mayReturn = aObject.mIsDeleted && mLastStoreFailure != TimePoint{} &&
+                           Now() - mLastStoreFailure < kLapsePeriod;
+    mRouter.Endpoints().Remove(id, mayReturn, Now());
+    if (!mayReturn) {
+      mPool.Drop(id);
+    }
+  } else {
+    mRouter.Endpoints().Upsert(*endpoint);
+  }
+  mLog.Write({ &kEndpointChanged,
+               { { "endpoint", aObject.mName },
+                 { "state",
+                   !endpoint             ? "gone"
+                   : endpoint->mDraining ? "draining"
+                                         : "ready" },
+                 { "service", endpoint ? endpoint->mService.Value() : "" },
+                 { "version", endpoint ? endpoint->mVersion : "" },
+                 { "address", endpoint ? endpoint->mAddress : "" } } });
+}
+
+void FleetSync::OnRollout(const StoreObject& aObject)
+{
+  const auto order = aObject.mIsDeleted ? std::nullopt : DecodeRollout(aObject);
+  if (!order) {
+    return;
+  }
+  mRouter.Rollouts().OnOrder(*order, Now(), std::chrono::milliseconds(0));
+  mLog.Write({ &kRolloutChanged,
+               { { "service", order->mService.Value() },
+                 { "target", order->mTarget },
+                 { "state", std::string(StateName(order->mState)) },
+                 { "period_ms", std::to_string(order->mPeriod.count()) } } });
+}
+
+void FleetSync::OnInstance(const StoreObject& aObject)
+{
+  if (mMesh == nullptr) {
+    return;
+  }
+  if (aObject.mIsDeleted) {
+    mMesh->RemovePeer(aObject.mName);
+  } else if (const auto entry = DecodeInstance(aObject)) {
+    mMesh->SetPeer(*entry);
+  }
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -0,0 +1,405 @@
+#include "RelayRuntime.h"
+
+#include "../events/RelayEvents.h"
+#include "../net/SocketOptions.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace skylarkchute {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{ 200 };
+
+/** Without a tick for this long the process was paused, and what it knows may be old. */
+constexpr milliseconds kPauseBound{ 1200 };
+
+/** After the order to stop callers may still be sent here until the balancer has noticed. */
+constexpr milliseconds kNoticePeriod{ 3000 };
+constexpr milliseconds kStopCheck{ 50 };
+
+/** Part of the grace period after which connections under way are given up. */
+constexpr double kUsedGrace = 0.96;
+
+/** News of the store that another instance lacks for this long are passed on. */
+constexpr milliseconds kPassOnAfter{ 300 };
+
+/** An instance that was silent for this long is taken out of the store. */
+constexpr milliseconds kDeadAfter{ 20000 };
+
+/** Instances act on a rollout one after the other, so that usually only the first one writes. */
+constexpr milliseconds kRankDelay{ 500 };
+
+constexpr milliseconds kRegisterRetry{ 1000 };
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kCreated = 201;
+constexpr unsigned kConflict = 409;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kNotFound = 404;
+
+TimePoint Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+RelayRuntime::RelayRuntime(RelaySettings aSettings,
+                           const std::string& aIncarnation,
+                           ReadSettings aReadSettings)
+  : mSettings(std::move(aSettings))
+  , mReadSettings(std::move(aReadSettings))
+  , mSelf{ mSettings.mName,
+           MakeIncarnation(InstanceId(mSettings.mName), aIncarnation).Value(),
+           mSettings.mPeerAddress,
+           mSettings.mZone.Value() }
+  , mLog(mSettings.mName, LogFormat::Json, mSettings.mLogLevel)
+  , mLoop(1)
+  , mRandom(static_cast<std::minstd_rand::result_type>(StableHash(aIncarnation) % 2147483646U + 1))
+  , mRouter(IncarnationId(mSelf.mIncarnation), mSettings.mZone, mSettings.mBounds, mRandom())
+  , mPool(mLoop)
+  , mSync(mRouter, mPool, mLog)
+  , mMirror(
+      [this](ObjectKind aKind, const StoreObject& aObject) { mSync.OnObject(aKind, aObject); })
+  , mMesh(mLoop, *this, mSelf, mSettings.mSeeds, mRandom())
+  , mWriter(mLoop, mSettings.mStoreAddress)
+  , mContext{ mLoop, mRouter, mPool, mLog, mMetrics, mIsLeaving }
+  , mCallers(mContext)
+  , mReady(mLoop, [this](const ControlRequest& aRequest) { return AnswerReady(aRequest); })
+  , mPeers(mLoop, [this](const ControlRequest& aRequest) { return AnswerPeer(aRequest); })
+  , mMetricsServer(mLoop,
+                   [this](const ControlRequest& aRequest) { return AnswerMetrics(aRequest); })
+  , mSignals(mLoop, SIGTERM, SIGINT, SIGHUP)
+  , mTickTimer(mLoop)
+  , mStopTimer(mLoop)
+{
+  mSync.SetMesh(&mMesh);
+  for (const auto it : kObjectKinds) {
+    mWatchers.push_back(
+      std::make_shared<StoreWatcher>(mLoop, mSettings.mStoreAddress, it, mMirror, *this, [this] {
+        return static_cast<double>(mRandom()) / static_cast<double>(std::minstd_rand::max());
+      }));
+  }
+}
+
+RelayRuntime::~RelayRuntime() = default;
+
+bool RelayRuntime::Listen()
+{
+  const auto callers = ReadSocketAddress(mSettings.mCallerAddress);
+  const auto ready = ReadSocketAddress(mSettings.mReadyAddress);
+  const auto peers = ReadSocketAddress(mSettings.mPeerAddress);
+  const auto metrics = ReadSocketAddress(mSettings.mMetricsAddress);
+  return callers && ready && peers && mCallers.Listen(*callers) && mReady.Listen(*ready) &&
+         mPeers.Listen(*peers) && (!metrics || mMetricsServer.Listen(*metrics));
+}
+
+bool RelayRuntime::Run()
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  if (!Listen()) {
+    return false;
+  }
+  mLog.Write(
+    { &kRelayStarted,
+      { { "incarnation", mSelf.mIncarnation }, { "callers", mSettings.mCallerAddress } } });
+  WaitForSignal();
+  for (const auto& it : mWatchers) {
+    it->Restart();
+  }
+  mLastTick = Now();
+  ScheduleTick();
+  mLoop.run();
+  mLog.Write({ &kRelayStopped, {} });
+  return true;
+}
+
+bool RelayRuntime::IsReady() const
+{
+  return !mIsLeaving && mRouter.Config() != nullptr && mMirror.IsKnown(ObjectKind::Endpoints);
+}
+
+ControlAnswer RelayRuntime::AnswerReady(const ControlRequest& /*aRequest*/) const
+{
+  const bool ready = IsReady();
+  return { ready ? kOk : kUnavailable, "text/plain", ready ? "ready\n" : "not ready\n" };
+}
+
+ControlAnswer RelayRuntime::AnswerPeer(const ControlRequest& aRequest)
+{
+  if (aRequest.mMethod != "POST") {
+    return { kNotFound, "text/plain", "" };
+  }
+  return { kOk, "application/json", mMesh.Serve(aRequest.mBody) };
+}
+
+ControlAnswer RelayRuntime::AnswerMetrics(const ControlRequest& /*aRequest*/) const
+{
+  return { kOk, "text/plain", mMetrics.PrometheusText() };
+}
+
+void RelayRuntime::WaitForSignal()
+{
+  mSignals.async_wait([this](const ErrorCode& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      Reload();
+    } else {
+      BeginStop();
+    }
+    WaitForSignal();
+  });
+}
+
+void RelayRuntime::Reload()
+{
+  const auto settings = mReadSettings();
+  if (!settings) {
+    mLog.Write({ &kSettingsRefused, {} });
+    return;
+  }
+  mSettings.mGrace = settings->mGrace;
+  mLog.Write({ &kSettingsReloaded, {} });
+}
+
+void RelayRuntime::BeginStop()
+{
+  if (mIsLeaving) {
+    return;
+  }
+  mIsLeaving = true;
+  mStopAt = Now();
+  mLog.Write({ &kRelayStopping, { { "grace_ms", std::to_string(mSettings.mGrace.count()) } } });
+  CheckStopped();
+}
+
+void RelayRuntime::CheckStopped()
+{
+  const auto now = Now();
+  const bool hasNotice =
+    now - mStopAt >= std::min<milliseconds>(kNoticePeriod, mSettings.mGrace / 2);
+  const bool isOverdue = now - mStopAt >= mSettings.mGrace * kUsedGrace;
+  if (hasNotice) {
+    mCallers.StopAccepting();
+    mCallers.CloseIdle();
+  }
+  if ((hasNotice && !mCallers.IsBusy()) || isOverdue) {
+    mLoop.stop();
+    return;
+  }
+  mStopTimer.expires_after(kStopCheck);
+  mStopTimer.async_wait([this](const ErrorCode& aError) {
+    if (!aError) {
+      CheckStopped();
+    }
+  });
+}
+
+void RelayRuntime::ScheduleTick()
+{
+  mTickTimer.expires_after(kTick);
+  mTickTimer.async_wait([this](const ErrorCode& aError) {
+    if (!aError) {
+      Tick();
+      ScheduleTick();
+    }
+  });
+}
+
+void RelayRuntime::Tick()
+{
+  const auto now = Now();
+  DetectPause(now);
+  ++mTicks;
+  for (const auto& it : mRouter.Tick(now)) {
+    mPool.Drop(it);
+  }
+  mPool.CloseStale(now);
+  if (mTicks % static_cast<std::uint64_t>(PeerMesh::kInterval / kTick) == 0) {
+    mMesh.Tick(now);
+    mRouter.SetInstances(mMesh.Live(now).size() + 1);
+  }
+  NoteReady();
+  Register();
+  DriveRollouts(now);
+  RemoveDeadInstances(now);
+}
+
+void RelayRuntime::DetectPause(TimePoint aNow)
+{
+  const auto gap = aNow - mLastTick;
+  mLastTick = aNow;
+  if (gap < kPauseBound) {
+    return;
+  }
+  mLog.Write(
+    { &kProcessPaused,
+      { { "gap_ms", std::to_string(std::chrono::duration_cast<milliseconds>(gap).count()) } } });
+  for (const auto& it : mWatchers) {
+    it->Restart();
+  }
+}
+
+void RelayRuntime::NoteReady()
+{
+  const bool ready = IsReady();
+  if (ready && !mWasReady) {
+    mLog.Write(
+      { &kRelayReady, { { "endpoints", std::to_string(mRouter.Endpoints().All().size()) } } });
+  }
+  mWasReady = ready;
+}
+
+/** Keeps this instance's entry in the store equal to this incarnation. */
+void RelayRuntime::Register()
+{
+  const auto now = Now();
+  if (!mMirror.IsKnown(ObjectKind::Instances) || now < mNextRegister) {
+    return;
+  }
+  const auto* known = mMirror.Find(ObjectKind::Instances, mSelf.mName);
+  const auto entry = known != nullptr ? DecodeInstance(*known) : std::nullopt;
+  if (entry && entry->mIncarnation == mSelf.mIncarnation) {
+    return;
+  }
+  mNextRegister = now + kRegisterRetry;
+  const bool isNew = known == nullptr;
+  const auto target = isNew ? ListTarget(ObjectKind::Instances, {})
+                            : ObjectTarget(ObjectKind::Instances, mSelf.mName);
+  mWriter.Write(
+    isNew ? "POST" : "PUT",
+    target,
+    EncodeInstance(mSelf, isNew ? 0 : known->mRevision),
+    [this](const CallResult& aResult) {
+      mLog.Write({ &kStoreWrite,
+                   { { "object", "instance" }, { "status", std::to_string(aResult.mStatus) } } });
+    });
+}
+
+std::size_t RelayRuntime::RankFor(const std::string& aKey, TimePoint aNow) const
+{
+  auto members = mMesh.Live(aNow);
+  members.emplace_back(mSelf.mName);
+  const auto order = RendezvousOrder(aKey, members, members.size());
+  const auto found = std::find(order.begin(), order.end(), InstanceId(mSelf.mName));
+  return static_cast<std::size_t>(found - order.begin());
+}
+
+void RelayRuntime::RemoveDeadInstances(TimePoint aNow)
+{
+  for (const auto& it : mMesh.SilentFor(kDeadAfter, aNow)) {
+    const auto* entry = mMirror.Find(ObjectKind::Instances, it);
+    if (entry == nullptr) {
+      mMesh.RemovePeer(it);
+    } else if (RankFor("remove " + it, aNow) == 0 && mFailedKinds.empty()) {
+      mWriter.Write("DELETE",
+                    ObjectTarget(ObjectKind::Instances, it) +
+                      "?Revision=" + std::to_string(entry->mRevision),
+                    {},
+                    [](const CallResult&) {});
+    }
+  }
+}
+
+void RelayRuntime::DriveRollouts(TimePoint aNow)
+{
+  for (const auto& it : mRouter.Rollouts().Services()) {
+    const auto step = mRouter.Rollouts().NextStep(it, aNow);
+    if (step == RolloutStep::None) {
+      continue;
+    }
+    const auto* order = mRouter.Rollouts().Order(it);
+    const auto rank = RankFor("rollout " + it.Value(), aNow);
+    const auto turn = static_cast<std::uint64_t>(kRankDelay / kTick) * rank;
+    // Later ranks act only while the earlier ones have not recorded the step.
+    if (mTicks % (turn + 1) != turn) {
+      continue;
+    }
+    const auto state =
+      step == RolloutStep::Complete ? RolloutState::Completed : RolloutState::RolledBack;
+    const auto service = it.Value();
+    mWriter.Write("PUT",
+                  StatusTarget(ObjectKind::Rollouts, service),
+                  EncodeRolloutStatus(*order, state),
+                  [this, service](const CallResult& aResult) {
+                    mLog.Write({ &kStoreWrite,
+                                 { { "object", "rollout " + service },
+                                   { "status", std::to_string(aResult.mStatus) } } });
+                  });
+  }
+}
+
+PeerExchange RelayRuntime::MakeExchange(const std::map<ObjectKind, KindState>* aKnown)
+{
+  const auto now = Now();
+  PeerExchange exchange;
+  exchange.mFrom = mSelf;
+  for (const auto kind : kObjectKinds) {
+    if (!mMirror.IsKnown(kind)) {
+      continue;
+    }
+    const KindState own{ mMirror.AsOf(kind), mMirror.Digest(kind) };
+    exchange.mKinds[kind] = own;
+    if (aKnown == nullptr || now - mMirror.ChangedAt(kind) < kPassOnAfter) {
+      continue;
+    }
+    const auto theirs = aKnown->find(kind);
+    const bool isBehind = theirs == aKnown->end() || (theirs->second.mDigest != own.mDigest &&
+                                                      theirs->second.mAsOf < own.mAsOf);
+    if (isBehind) {
+      exchange.mSnapshots[kind] = mMirror.Snapshot(kind);
+    }
+  }
+  exchange.mEvidence = mRouter.Rollouts().Evidence(now);
+  exchange.mCrashes = mRouter.Suspects().Recent(now);
+  return exchange;
+}
+
+void RelayRuntime::OnExchange(const PeerExchange& aExchange)
+{
+  const auto now = Now();
+  for (const auto& [kind, snapshot] : aExchange.mSnapshots) {
+    mMirror.Replace(kind, snapshot, now);
+  }
+  for (const auto& it : aExchange.mEvidence) {
+    if (mRouter.Rollouts().OnEvidence(it, now)) {
+      mLog.Write({ &kRolloutStopped,
+                   { { "service", it.mService.Value() },
+                     { "target", it.mTarget },
+                     { "from", aExchange.mFrom.mName } } });
+    }
+  }
+  for (const auto& it : aExchange.mCrashes) {
+    mRouter.Suspects().OnCrash(it, now);
+  }
+}
+
+void RelayRuntime::OnPeerChanged(const std::string& aName, bool aIsLive)
+{
+  mLog.Write({ aIsLive ? &kPeerRegained : &kPeerLost, { { "peer", aName } } });
+}
+
+void RelayRuntime::OnStoreAnswer(ObjectKind aKind)
+{
+  if (mFailedKinds.erase(aKind) > 0 && mFailedKinds.empty()) {
+    mLog.Write({ &kStoreRegained, {} });
+  }
+}
+
+void RelayRuntime::OnStoreFailure(ObjectKind aKind, const std::string& aReason)
+{
+  mSync.OnStoreFailure(Now());
+  if (mFailedKinds.empty()) {
+    mLog.Write(
+      { &kStoreLost, { { "kind", std::string(KindName(aKind)) }, { "reason", aReason } } });
+  }
+  mFailedKinds.insert(aKind);
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_relay/runtime/RelaySettings.cpp
@@ -0,0 +1,130 @@
+#include "RelaySettings.h"
+
+#include "../net/SocketOptions.h"
+
+#include <algorithm>
+#include <map>
+
+namespace skylarkchute {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kMostPeriod{ 600000 };
+
+/** Reads the sections of one document; a missing one is a fault. */
+class RelaySections
+{
+public:
+  explicit RelaySections(const IniDocument& aDocument) : mDocument(aDocument) {}
+
+  /** Calls @p aRead with a reader of the section, which has to be there. */
+  template<typename Read>
+  void With(const std::string& aName, const Read& aRead)
+  {
+    mNames.push_back(aName);
+    const auto& sections = mDocument.Sections();
+    const auto found = std::find_if(sections.begin(), sections.end(), [&](const auto& aSection) {
+      return aSection.mName == aName;
+    });
+    if (found == sections.end()) {
+      mFaults.mFaults.push_back({ aName, "", "the section is missing" });
+      return;
+    }
+    SectionReader reader(*found, mFaults.mFaults);
+    aRead(reader);
+    reader.Finish();
+  }
+
+  /** Records sections that nobody read. */
+  Faults Finish()
+  {
+    for (const auto& it : mDocument.Sections()) {
+      if (std::find(mNames.begin(), mNames.end(), it.mName) == mNames.end()) {
+        mFaults.mFaults.push_back({ it.mName, "", "there is no such section" });
+      }
+    }
+    return mFaults;
+  }
+
+private:
+  const IniDocument& mDocument;
+  std::vector<std::string> mNames;
+  Faults mFaults;
+};
+
+std::string ReadAddress(SectionReader& aReader, const std::string& aKey, bool aRequired)
+{
+  const auto text = aReader.ReadText(aKey, "");
+  if (text.empty() && !aRequired) {
+    return text;
+  }
+  if (!ReadSocketAddress(text)) {
+    aReader.Refuse(aKey, "has to be IP:PORT");
+  }
+  return text;
+}
+
+EventLevel ReadLevel(SectionReader& aReader)
+{
+  static const std::map<std::string, EventLevel> levels{ { "debug", EventLevel::Debug },
+                                                         { "info", EventLevel::Info },
+                                                         { "warning", EventLevel::Warning },
+                                                         { "error", EventLevel::Error } };
+  const auto found = levels.find(aReader.ReadText("level", "info"));
+  if (found == levels.end()) {
+    aReader.Refuse("level", "has to be debug, info, warning or error");
+    return EventLevel::Info;
+  }
+  return found->second;
+}
+
+} // namespace
+
+leaf::result<RelaySettings> ParseRelaySettings(const IniDocument& aDocument)
+{
+  RelaySettings settings;
+  RelaySections sections(aDocument);
+  sections.With("instance", [&](SectionReader& aReader) {
+    settings.mName = aReader.ReadText("name", "");
+    settings.mZone = ZoneName(aReader.ReadText("zone", ""));
+    if (settings.mName.empty()) {
+      aReader.Refuse("name", "has to be set");
+    }
+  });
+  sections.With("listen", [&](SectionReader& aReader) {
+    settings.mCallerAddress = ReadAddress(aReader, "callers", true);
+    settings.mReadyAddress = ReadAddress(aReader, "ready", true);
+    settings.mPeerAddress = ReadAddress(aReader, "peers", true);
+    settings.mMetricsAddress = ReadAddress(aReader, "metrics", false);
+  });
+  sections.With("platform", [&](SectionReader& aReader) {
+    settings.mStoreAddress = ReadAddress(aReader, "store", true);
+    settings.mSeeds = aReader.ReadItems("seeds", false);
+  });
+  sections.With("retries", [&](SectionReader& aReader) {
+    settings.mBounds.mRetry.mRatio = aReader.ReadNumberIn("ratio", 0, 10);
+    settings.mBounds.mRetry.mSlack = aReader.ReadNumberIn("slack", 0, 1e6);
+    settings.mBounds.mRetry.mWindow = aReader.ReadDurationUpTo("window", kMostPeriod);
+  });
+  sections.With("rollouts", [&](SectionReader& aReader) {
+    settings.mBounds.mExposure.mShare = aReader.ReadNumberIn("exposed_share", 0, 1);
+    settings.mBounds.mExposure.mSlack = aReader.ReadNumberIn("exposed_slack", 0, 1e6);
+    settings.mBounds.mSession =
+      aReader.ReadDurationUpTo("session", kMostPeriod, milliseconds(5000));
+  });
+  sections.With("shutdown", [&](SectionReader& aReader) {
+    settings.mGrace = aReader.ReadDurationUpTo("grace", kMostPeriod);
+  });
+  sections.With("log", [&](SectionReader& aReader) { settings.mLogLevel = ReadLevel(aReader); });
+  auto faults = sections.Finish();
+  if (!faults.mFaults.empty()) {
+    return leaf::new_error(std::move(faults));
+  }
+  return settings;
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_relay/store/StoreCall.cpp
@@ -0,0 +1,110 @@
+#include "StoreCall.h"
+
+#include "../net/SocketOptions.h"
+
+namespace skylarkchute {
+
+namespace {
+
+constexpr std::chrono::milliseconds kConnectTimeout{ 600 };
+
+} // namespace
+
+StoreCall::StoreCall(boost::asio::io_context& aContext, std::string aAddress)
+  : mContext(aContext)
+  , mAddress(std::move(aAddress))
+  , mTimer(aContext)
+{
+}
+
+void StoreCall::Start(const std::string& aMethod,
+                      const std::string& aTarget,
+                      std::string aBody,
+                      std::chrono::milliseconds aTimeout,
+                      Done aDone)
+{
+  Cancel();
+  mDone = std::move(aDone);
+  mResult = CallResult{};
+  const auto address = ReadSocketAddress(mAddress);
+  mTimer.expires_after(address ? aTimeout : std::chrono::milliseconds(0));
+  mTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
+    if (!aError) {
+      self->mConnection.reset();
+      self->Finish(false);
+    }
+  });
+  if (!address) {
+    return;
+  }
+  if (!mConnection || !mConnection->IsIdle()) {
+    mConnection = std::make_shared<ClientConnection>(mContext, kConnectTimeout);
+  }
+  std::string head = aMethod + " " + aTarget + " HTTP/1.1\r\nHost: " + mAddress + "\r\n";
+  if (!aBody.empty()) {
+    head += "Content-Type: application/json\r\n";
+  }
+  if (!aBody.empty() || aMethod != "GET") {
+    head += "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
+  }
+  head += "\r\n";
+  mConnection->Send(*address,
+                    std::move(head),
+                    std::make_shared<const std::string>(std::move(aBody)),
+                    shared_from_this());
+}
+
+void StoreCall::Cancel()
+{
+  if (!mDone) {
+    return;
+  }
+  mDone = nullptr;
+  mTimer.cancel();
+  if (mConnection) {
+    mConnection->Close();
+    mConnection.reset();
+  }
+}
+
+HeadChoice StoreCall::OnHead(const AnswerReader& aReader)
+{
+  mResult.mStatus = aReader.Status();
+  return HeadChoice::Accept;
+}
+
+void StoreCall::OnBody(std::string aBytes)
+{
+  mResult.mBody.append(aBytes);
+}
+
+void StoreCall::OnDone(bool aReusable)
+{
+  if (!aReusable) {
+    mConnection.reset();
+  } else {
+    mConnection->WatchIdle([] {});
+  }
+  Finish(true);
+}
+
+void StoreCall::OnLost(ConnectionLoss /*aLoss*/)
+{
+  mConnection.reset();
+  Finish(false);
+}
+
+void StoreCall::Finish(bool aHasAnswer)
+{
+  if (!mDone) {
+    return;
+  }
+  mTimer.cancel();
+  mResult.mHasAnswer = aHasAnswer;
+  const auto done = std::move(mDone);
+  mDone = nullptr;
+  const auto result = std::move(mResult);
+  done(result);
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -0,0 +1,309 @@
+#include "FleetRouter.h"
+
+#include "ModelSizePolicy.h"
+#include "PlacementPolicy.h"
+
+#include <algorithm>
+
+namespace skylarkchute {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Attempts of a request that reach endpoints, run or not. */
+constexpr std::uint32_t kMostSends = 4;
+
+/** A caller's retry is told to wait this long, at most a third of the time that it has left. */
+constexpr milliseconds kShortReturn{ 150 };
+constexpr milliseconds kEngineReturn{ 700 };
+
+/** Priorities of engines run from 0, the most urgent, to 9. */
+constexpr std::uint32_t kLeastUrgent = 9;
+
+/** First bytes later than this multiple of the usual time are waited for no longer. */
+constexpr double kPatienceFactor = 6;
+constexpr milliseconds kShortPatience{ 250 };
+constexpr milliseconds kEnginePatience{ 1500 };
+
+/** Expected first byte of a large model before any was seen. */
+constexpr milliseconds kUnknownLatency{ 300 };
+
+/** A relative latency above this counts as slow for a rollout. */
+constexpr double kSlowFactor = 3;
+
+milliseconds Until(TimePoint aThen, TimePoint aNow)
+{
+  return std::chrono::duration_cast<milliseconds>(aThen - aNow);
+}
+
+std::string LatencyKind(const RelayRoute& aRoute, const std::optional<std::size_t>& aSize)
+{
+  return aSize ? aRoute.mName + '/' + std::to_string(*aSize) : aRoute.mName;
+}
+
+} // namespace
+
+FleetRouter::FleetRouter(IncarnationId aSelf,
+                         ZoneName aZone,
+                         const FleetBounds& aBounds,
+                         std::uint64_t aSeed)
+  : mZone(std::move(aZone))
+  , mBounds(aBounds)
+  , mRollouts(std::move(aSelf), aBounds.mExposure, aBounds.mSession)
+  , mRandom(static_cast<std::minstd_rand::result_type>(aSeed % 2147483646U + 1))
+{
+}
+
+ServiceName FleetRouter::ChooseService(const RelayRoute& aRoute)
+{
+  if (aRoute.mTargets.size() == 1) {
+    return aRoute.mTargets.front().mService;
+  }
+  std::vector<double> weights;
+  for (const auto& it : aRoute.mTargets) {
+    weights.push_back(it.mWeight);
+  }
+  std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
+  return aRoute.mTargets[draw(mRandom)].mService;
+}
+
+std::variant<RequestPlan, RelayRefusal> FleetRouter::Admit(const RelayRequest& aRequest,
+                                                           TimePoint aNow)
+{
+  if (!mConfig) {
+    return RelayRefusal{ RefusalReason::NoConfiguration, kEngineReturn };
+  }
+  RequestPlan plan;
+  plan.mConfig = mConfig;
+  plan.mRoute = mConfig->FindRoute(aRequest.mHost, aRequest.mPath);
+  if (plan.mRoute == nullptr) {
+    return RelayRefusal{ RefusalReason::NoRoute, {} };
+  }
+  const auto& route = *plan.mRoute;
+  plan.mTeam = mConfig->FindTeam(aRequest.mKey);
+  if (plan.mTeam == nullptr && mConfig->HasTeams() && !route.mPublic) {
+    return RelayRefusal{ RefusalReason::NoKey, {} };
+  }
+  plan.mService = ChooseService(route);
+  const auto& parts = aRequest.mPromptParts;
+  if (!parts.empty()) {
+    plan.mAffinity = parts.size() > 1 ? parts[parts.size() - 2] : parts.back();
+    plan.mSession = plan.mAffinity;
+  }
+  plan.mFingerprint = aRequest.mFingerprint;
+  plan.mPriority =
+    plan.mTeam != nullptr && plan.mTeam->mPriority ? *plan.mTeam->mPriority : route.mPriority;
+  plan.mArrival = aNow;
+  plan.mEnd = aNow + std::min(route.mTimeout, aRequest.mDeadline.value_or(route.mTimeout));
+  plan.mTarget = aNow + route.mTargetLatency;
+  plan.mIsContinuation = aRequest.mIsContinuation;
+  plan.mChoosesSize = !route.mSizes.empty() && aRequest.mModel == "*";
+  if (mSuspects.IsRefused(plan.mFingerprint)) {
+    return Refuse(plan, RefusalReason::CrashesEndpoints, aNow);
+  }
+  return plan;
+}
+
+RelayRefusal FleetRouter::Refuse(const RequestPlan& aPlan,
+                                 RefusalReason aReason,
+                                 TimePoint aNow) const
+{
+  const auto* service = aPlan.mConfig->FindService(aPlan.mService);
+  const bool isEngine = service != nullptr && service->mEngineSlots > 0;
+  const auto third = Until(aPlan.mEnd, aNow) / 3;
+  const auto wanted = isEngine ? kEngineReturn : kShortReturn;
+  return { aReason, std::max(milliseconds(0), std::min(wanted, third)) };
+}
+
+AttemptPlan FleetRouter::PlanFor(const RequestPlan& aPlan,
+                                 const FleetRow& aRow,
+                                 bool aAsksLarger,
+                                 TimePoint aNow)
+{
+  const auto& route = *aPlan.mRoute;
+  AttemptPlan attempt;
+  attempt.mEndpoint = aRow.mEntry.mId;
+  attempt.mBorn = aRow.mEntry.mBorn;
+  attempt.mAddress = aRow.mEntry.mAddress;
+  attempt.mVersion = aRow.mEntry.mVersion;
+  attempt.mPriority = std::min(aPlan.mPriority, kLeastUrgent);
+  if (aPlan.mChoosesSize) {
+    const auto largest = route.mSizes.size() - 1;
+    const auto runsLeft = route.mMaxAttempts - std::min(route.mMaxAttempts, aPlan.mRuns);
+    const SizeQuestion question{ route.mSizes.size(),
+                                 runsLeft,
+                                 Until(aPlan.mTarget, aNow),
+                                 mLatencies.Mean(LatencyKind(route, largest), kUnknownLatency),
+                                 aPlan.mIsContinuation };
+    attempt.mSize = aAsksLarger ? largest : aPlan.mSize.value_or(ModelSizePolicy::First(question));
+    attempt.mModel = route.mSizes[*attempt.mSize];
+  }
+  attempt.mLatencyKind = LatencyKind(route, attempt.mSize);
+  return attempt;
+}
+
+FleetRouter::Decision FleetRouter::NextAttempt(RequestPlan& aPlan, bool aAsksLarger, TimePoint aNow)
+{
+  const auto& route = *aPlan.mRoute;
+  if (aNow >= aPlan.mEnd) {
+    return Refuse(aPlan, RefusalReason::DeadlinePassed, aNow);
+  }
+  if (aPlan.mRuns > 0 && (!route.IsRepeatable() || aPlan.mRuns >= route.mMaxAttempts)) {
+    return Refuse(aPlan, RefusalReason::BudgetSpent, aNow);
+  }
+  if (aPlan.mSends >= kMostSends) {
+    return Refuse(aPlan, RefusalReason::Overloaded, aNow);
+  }
+  if (mSuspects.IsRefused(aPlan.mFingerprint)) {
+    return Refuse(aPlan, RefusalReason::CrashesEndpoints, aNow);
+  }
+  auto rows = mEndpoints.OpenRows(aPlan.mService);
+  mRollouts.SelectVersion(aPlan.mService, aPlan.mSession, rows, aNow);
+  auto* row =
+    PlacementPolicy::Choose(rows, { aPlan.mAffinity, mZone, aPlan.mTried, mRandom() }, aNow);
+  if (row == nullptr) {
+    return Refuse(aPlan, RefusalReason::NoEndpoint, aNow);
+  }
+  auto& window = mRetryWindows[aPlan.mService];
+  if (aPlan.mSends == 0) {
+    window.OnFirst(aNow, mBounds.mRetry);
+  } else if (!window.Take(aNow, mBounds.mRetry, mInstances)) {
+    return Refuse(aPlan, RefusalReason::BudgetSpent, aNow);
+  }
+  ++row->mOutstanding;
+  return PlanFor(aPlan, *row, aAsksLarger, aNow);
+}
+
+void FleetRouter::OnSent(RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow)
+{
+  ++aPlan.mSends;
+  mRollouts.OnSent(aPlan.mService, aAttempt.mVersion, aPlan.mSession, aNow);
+}
+
+void FleetRouter::OnFirstByte(const RequestPlan& aPlan,
+                              const AttemptPlan& aAttempt,
+                              std::chrono::microseconds aLatency)
+{
+  const double relative = mLatencies.Relative(aAttempt.mLatencyKind, aLatency);
+  if (auto* row = mEndpoints.Find(aAttempt.mEndpoint)) {
+    row->mHealth.OnSuccess(relative);
+  }
+  const auto* order = mRollouts.Order(aPlan.mService);
+  const bool isTarget = order != nullptr && order->mState == RolloutState::Running &&
+                        order->mTarget == aAttempt.mVersion;
+  if (!isTarget) {
+    mLatencies.Record(aAttempt.mLatencyKind, aLatency);
+  }
+  const std::uint64_t slow = relative > kSlowFactor ? 1 : 0;
+  mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 0, slow });
+}
+
+void FleetRouter::OnLoad(const EndpointId& aEndpoint, const ReportedLoad& aLoad, TimePoint aNow)
+{
+  if (auto* row = mEndpoints.Find(aEndpoint)) {
+    row->mReport = aLoad;
+    row->mReportedAt = aNow;
+    row->mOutstandingAtReport = row->mOutstanding;
+  }
+}
+
+double FleetRouter::FailureRateOf(const ServiceName& aService) const
+{
+  double sum = 0;
+  std::size_t count = 0;
+  for (const auto& [id, row] : mEndpoints.All()) {
+    if (row.mEntry.mService == aService) {
+      sum += row.mHealth.FailureRate();
+      ++count;
+    }
+  }
+  return count == 0 ? 0 : sum / static_cast<double>(count);
+}
+
+void FleetRouter::OnEnded(RequestPlan& aPlan,
+                          const AttemptPlan& aAttempt,
+                          RelayOutcome aOutcome,
+                          TimePoint aNow)
+{
+  if (MayHaveRun(aOutcome)) {
+    ++aPlan.mRuns;
+  }
+  if (aOutcome != RelayOutcome::Answered && aOutcome != RelayOutcome::Abandoned) {
+    aPlan.mTried.push_back(aAttempt.mEndpoint);
+  }
+  auto* row = mEndpoints.Find(aAttempt.mEndpoint);
+  if (row != nullptr) {
+    row->mOutstanding -= std::min(row->mOutstanding, 1U);
+  }
+  switch (aOutcome) {
+    case RelayOutcome::Answered:
+      mSuspects.OnSuccess(aPlan.mFingerprint);
+      return;
+    case RelayOutcome::Abandoned:
+    case RelayOutcome::NotRun:
+    case RelayOutcome::Misdirected:
+      return;
+    case RelayOutcome::Failed:
+      mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 1, 0 });
+      break;
+    case RelayOutcome::Unreachable:
+      if (row != nullptr) {
+        row->mHealth.OnUnreachable(aNow);
+      }
+      return;
+    case RelayOutcome::Lost:
+    case RelayOutcome::Damaged:
+    case RelayOutcome::TimedOut:
+      break;
+  }
+  if (row != nullptr) {
+    row->mHealth.OnFailure(aNow, FailureRateOf(aPlan.mService));
+  }
+}
+
+bool FleetRouter::AsksLarger(const RequestPlan& aPlan,
+                             const AttemptPlan& aAttempt,
+                             double aConfidence,
+                             TimePoint aNow) const
+{
+  const auto& route = *aPlan.mRoute;
+  if (!aAttempt.mSize || !aPlan.mChoosesSize || !route.IsRepeatable()) {
+    return false;
+  }
+  const auto used = aPlan.mRuns + 1;
+  const auto largest = route.mSizes.size() - 1;
+  const SizeQuestion question{ route.mSizes.size(),
+                               route.mMaxAttempts - std::min(route.mMaxAttempts, used),
+                               Until(aPlan.mTarget, aNow),
+                               mLatencies.Mean(LatencyKind(route, largest), kUnknownLatency),
+                               aPlan.mIsContinuation };
+  return ModelSizePolicy::AsksLarger(question, *aAttempt.mSize, aConfidence);
+}
+
+std::optional<milliseconds> FleetRouter::Patience(const RequestPlan& aPlan,
+                                                  const AttemptPlan& aAttempt) const
+{
+  const auto& route = *aPlan.mRoute;
+  if (!route.IsRepeatable() || aPlan.mRuns + 1 >= route.mMaxAttempts) {
+    return std::nullopt;
+  }
+  const auto usual = mLatencies.Mean(aAttempt.mLatencyKind, milliseconds(0)) * kPatienceFactor;
+  const auto least = aAttempt.mSize ? kEnginePatience : kShortPatience;
+  return std::max(least, std::chrono::duration_cast<milliseconds>(usual));
+}
+
+void FleetRouter::SetInstances(std::size_t aInstances)
+{
+  mInstances = std::max<std::size_t>(aInstances, 1);
+  mRollouts.SetInstances(mInstances);
+}
+
+std::vector<EndpointId> FleetRouter::Tick(TimePoint aNow)
+{
+  mRollouts.Prune(aNow);
+  mSuspects.Prune(aNow);
+  return mEndpoints.DropLapsed(aNow);
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_routing/fleet/FleetTable.cpp
@@ -0,0 +1,85 @@
+#include "FleetTable.h"
+
+#include <algorithm>
+
+namespace skylarkchute {
+
+namespace {
+
+/** A report says little about an endpoint after this time; own attempts count alone. */
+constexpr std::chrono::milliseconds kReportLifetime{ 1500 };
+
+} // namespace
+
+double FleetRow::EstimatedLoad(TimePoint aNow) const
+{
+  const double own = mOutstanding;
+  const auto age = aNow - mReportedAt;
+  if (mReportedAt == TimePoint{} || age >= kReportLifetime) {
+    return own;
+  }
+  const double reported = mReport.mRunning + mReport.mWaiting;
+  const double others = std::max(0.0, reported - mOutstandingAtReport);
+  const double trust = 1 - std::chrono::duration<double>(age) / kReportLifetime;
+  return own + others * trust;
+}
+
+void FleetTable::Upsert(const FleetEndpoint& aEntry)
+{
+  auto& row = mRows[aEntry.mId];
+  if (row.mEntry.mBorn != aEntry.mBorn || row.mEntry.mAddress != aEntry.mAddress) {
+    const auto outstanding = row.mOutstanding;
+    row = FleetRow{};
+    row.mOutstanding = outstanding;
+  }
+  row.mEntry = aEntry;
+  row.mMissingSince.reset();
+}
+
+void FleetTable::Remove(const EndpointId& aId, bool aMayReturn, TimePoint aNow)
+{
+  const auto found = mRows.find(aId);
+  if (found == mRows.end()) {
+    return;
+  }
+  if (aMayReturn && !found->second.mEntry.mDraining) {
+    if (!found->second.mMissingSince) {
+      found->second.mMissingSince = aNow;
+    }
+    return;
+  }
+  mRows.erase(found);
+}
+
+std::vector<EndpointId> FleetTable::DropLapsed(TimePoint aNow)
+{
+  std::vector<EndpointId> dropped;
+  for (auto it = mRows.begin(); it != mRows.end();) {
+    if (it->second.mMissingSince && aNow - *it->second.mMissingSince >= kReturnPeriod) {
+      dropped.push_back(it->first);
+      it = mRows.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return dropped;
+}
+
+FleetRow* FleetTable::Find(const EndpointId& aId)
+{
+  const auto found = mRows.find(aId);
+  return found == mRows.end() ? nullptr : &found->second;
+}
+
+std::vector<FleetRow*> FleetTable::OpenRows(const ServiceName& aService)
+{
+  std::vector<FleetRow*> rows;
+  for (auto& [id, row] : mRows) {
+    if (row.mEntry.mService == aService && row.IsOpen()) {
+      rows.push_back(&row);
+    }
+  }
+  return rows;
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_routing/fleet/RelayConfig.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <skylarkchute_core/skylarkchute_core.h>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace skylarkchute {
+
+/** What may be repeated of a request. */
+enum class RequestKind
+{
+  Idempotent,
+  NonIdempotent,
+  Stream,
+};
+
+/** One service among which a route divides its requests. */
+struct RouteTarget
+{
+  ServiceName mService;
+  double mWeight = 0;
+};
+
+/** One route of the operator's configuration. */
+struct RelayRoute
+{
+  std::string mName;
+  std::string mHost;       /**< Lower case, without a port. */
+  std::string mPathPrefix; /**< Begins and ends with a slash. */
+  RequestKind mKind = RequestKind::NonIdempotent;
+  std::vector<RouteTarget> mTargets; /**< Never empty; weights above zero. */
+  std::vector<ModelName> mSizes;     /**< Models that may answer, smallest first; may be empty. */
+  std::chrono::milliseconds mTimeout{ 0 };
+  std::chrono::milliseconds mTargetLatency{ 0 };
+  std::chrono::milliseconds mLargestGap{ 0 }; /**< Between events of a stream; zero when unset. */
+  std::uint32_t mPriority = 0;                /**< Zero is the most urgent. */
+  std::uint32_t mMaxAttempts = 1;
+  bool mPublic = false;    /**< Needs no key. */
+  bool mResumable = false; /**< A stream may go on at another endpoint. */
+
+  /** Returns whether a request may be run again after an attempt that may have run. */
+  bool IsRepeatable() const
+  {
+    return mKind == RequestKind::Idempotent || (mKind == RequestKind::Stream && mResumable);
+  }
+};
+
+/** A model that the endpoints of a service host. */
+struct HostedModel
+{
+  ModelName mName;
+  double mCost = 0; /**< A thousand generated tokens. */
+};
+
+/** One service of the operator's configuration. */
+struct RelayService
+{
+  ServiceName mName;
+  std::string mHealthPath;
+  std::uint32_t mMaxConnections = 0; /**< Of one endpoint, from all callers; zero is unlimited. */
+  std::uint32_t mEngineSlots = 0;    /**< Zero unless the endpoints are model engines. */
+  std::uint64_t mEngineTokens = 0;   /**< KV cache of one engine. */
+  std::vector<HostedModel> mModels;
+};
+
+/** A team and its keys. */
+struct RelayTeam
+{
+  TeamName mName;
+  std::vector<std::string> mKeys;
+  std::optional<std::uint32_t> mPriority; /**< Goes before the route's. */
+};
+
+/** What a caller may send, and how long it may take. */
+struct CallerLimits
+{
+  std::uint32_t mMaxHeaderBytes = 16384;
+  std::uint32_t mMaxBodyBytes = 4194304;
+  std::chrono::milliseconds mHeaderTimeout{ 3000 };
+  std::chrono::milliseconds mIdleTimeout{ 15000 };
+};
+
+/** The operator's configuration, as decoded from the platform's store. */
+struct RelayConfig
+{
+  std::uint64_t mVersion = 0;
+  std::vector<RelayRoute> mRoutes;
+  std::vector<RelayService> mServices;
+  std::vector<RelayTeam> mTeams;
+  CallerLimits mLimits;
+};
+
+/** Answers by index what a request asks of one configuration. Immutable. */
+class ConfigIndex
+{
+public:
+  explicit ConfigIndex(RelayConfig aConfig);
+
+  ConfigIndex(const ConfigIndex&) = delete;
+  ConfigIndex& operator=(const ConfigIndex&) = delete;
+
+  /** Returns the route of the host with the longest prefix of the path, or null.
+      @param aHost  as in the request's header
+      @param aPath  without the query */
+  const RelayRoute* FindRoute(std::string_view aHost, std::string_view aPath) const;
+
+  /** Returns the team that holds a key, or null. */
+  const RelayTeam* FindTeam(const std::string& aKey) const;
+
+  /** Returns a service, or null. */
+  const RelayService* FindService(const ServiceName& aService) const;
+
+  /** Returns whether requests need a key unless their route is public. */
+  bool HasTeams() const { return !mConfig.mTeams.empty(); }
+
+  const RelayConfig& Config() const { return mConfig; }
+
+private:
+  RelayConfig mConfig;
+  std::unordered_map<std::string, std::vector<const RelayRoute*>> mRoutesByHost;
+  std::unordered_map<std::string, const RelayTeam*> mTeamsByKey;
+  std::unordered_map<std::string, const RelayService*> mServices;
+};
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_routing/fleet/RetryWindow.cpp
@@ -0,0 +1,51 @@
+#include "RetryWindow.h"
+
+#include <algorithm>
+
+namespace skylarkchute {
+
+namespace {
+
+/** Part of the bound that is used; the rest covers requests that end up counted in the next
+    window. */
+constexpr double kUsedPart = 0.85;
+
+} // namespace
+
+RetryWindow::Slice& RetryWindow::Current(TimePoint aNow, const RetryBound& aBound)
+{
+  const auto length =
+    std::max<std::chrono::nanoseconds>(aBound.mWindow / kSlices, std::chrono::milliseconds(1));
+  const std::int64_t number = aNow.time_since_epoch() / length;
+  auto& slice = mSlices[static_cast<std::size_t>(number) % mSlices.size()];
+  if (slice.mNumber != number) {
+    slice = Slice{ number, 0, 0 };
+  }
+  return slice;
+}
+
+void RetryWindow::OnFirst(TimePoint aNow, const RetryBound& aBound)
+{
+  ++Current(aNow, aBound).mFirsts;
+}
+
+bool RetryWindow::Take(TimePoint aNow, const RetryBound& aBound, std::size_t aInstances)
+{
+  auto& current = Current(aNow, aBound);
+  double firsts = 0;
+  double repeats = 0;
+  for (const auto& it : mSlices) {
+    if (it.mNumber >= 0 && current.mNumber - it.mNumber <= static_cast<std::int64_t>(kSlices)) {
+      firsts += it.mFirsts;
+      repeats += it.mRepeats;
+    }
+  }
+  const double share = aBound.mSlack / static_cast<double>(std::max<std::size_t>(aInstances, 1));
+  if (repeats + 1 > kUsedPart * (aBound.mRatio * firsts + share)) {
+    return false;
+  }
+  ++current.mRepeats;
+  return true;
+}
+
+} // namespace skylarkchute
--- /dev/null
+++ b/modules/skylarkchute_routing/fleet/RolloutBook.cpp
@@ -0,0 +1,316 @@
+#include "RolloutBook.h"
+
+#include <algorithm>
+
+namespace skylarkchute {
+
+namespace {
+
+/** Parts of a rollout's period at which its share rises. Sessions may move after the first half;
+    the rest leaves time for answers under way before the older endpoints stop. */
+constexpr double kTrialFrom = 0.02;
+constexpr double kWiderFrom = 0.54;
+constexpr double kAllFrom = 0.62;
+constexpr double kCompleteFrom = 0.88;
+
+constexpr double kTrialShare = 0.08;
+constexpr double kWiderShare = 0.3;
+
+/** Part of the exposure bound that one instance uses of its share; instances count requests that
+    others may still be about to send. */
+constexpr double kUsedExposure = 0.75;
+
+/** Answers of the newer version before all requests may move to it. */
+constexpr std::uint64_t kLeastAnswers = 20;
+
+constexpr std::size_t kMostSessions = 50000;
+
+std::string SessionKey(const ServiceName& aService, const std::string& aKey)
+{
+  return aService.Value() + '\n' + aKey;
+}
+
+double Draw(const std::string& aKey, const std::string& aTarget)
+{
+  constexpr double kRange = 1.0 / 4294967296.0;
+  return static_cast<double>(StableHash(aKey, StableHash(aTarget)) >> 32U) * kRange;
+}
+
+void KeepVersion(std::vector<FleetRow*>& aRows, const std::string& aVersion)
+{
+  std::erase_if(aRows, [&](const auto* aRow) { return aRow->mEntry.mVersion != aVersion; });
+}
+
+bool HasVersion(const std::vector<FleetRow*>& aRows, const std::string& aVersion)
+{
+  return std::any_of(aRows.begin(), aRows.end(), [&](const auto* aRow) {
+    return aRow->mEntry.mVersion == aVersion;
+  });
+}
+
+/** Keeps as many endpoints as give each of them the load that all would have with full traffic. */
+void KeepTrialEndpoints(std::vector<FleetRow*>& aRows, double aShare)
+{
+  const auto most =
+    std::max<std::size_t>(1, static_cast<std::size_t>(aShare * static_cast<double>(aRows.size())));
+  if (aRows.size() <= most) {
+    return;
+  }
+  std::sort(aRows.begin(), aRows.end(), [](const auto* aLeft, const auto* aRight) {
+    return StableHash(aLeft->mEntry.mId.Value()) < StableHash(aRight->mEntry.mId.Value());
+  });
+  aRows.resize(most);
+}
+
+} // namespace
+
+RolloutBook::RolloutBook(IncarnationId aSelf,
+                         ExposureBound aBound,
+                         std::chrono::milliseconds aSession)
+  : mSelf(std::move(aSelf))
+  , mBound(aBound)
+  , mSessionLifetime(aSession)
+{
+}
+
+void RolloutBook::OnOrder(const RolloutOrder& aOrder,
+                          TimePoint aNow,
+                          std::chrono::milliseconds aAge)
+{
+  auto& service = mServices[aOrder.mService];
+  const bool isKnown = service.mRollout && service.mRollout->mOrder.mTarget == aOrder.mTarget;
+  if (isKnown && aOrder.mRevision < service.mRollout->mOrder.mRevision) {
+    return;
+  }
+  if (!isKnown) {
+    service.mRollout.emplace();
+    service.mRollout->mStart = aNow - aAge;
+  }
+  service.mRollout->mOrder = aOrder;
+  if (aOrder.mState == RolloutState::Completed) {
+    service.mBase = aOrder.mTarget;
+    service.mRolledBack.erase(aOrder.mTarget);
+  } else if (aOrder.mState == RolloutState::RolledBack) {
+    service.mRolledBack.insert(aOrder.mTarget);
+    Stop(*service.mRollout);
+  }
+}
+
+void RolloutBook::LearnBase(Service& aService, const std::vector<FleetRow*>& aRows) const
+{
+  const bool hasOpenOrder =
+    aService.mRollout && aService.mRollout->mOrder.mState != RolloutState::Completed;
+  const std::string target = hasOpenOrder ? aService.mRollout->mOrder.mTarget : std::string();
+  std::map<std::string, std::size_t> counts;
+  for (const auto* it : aRows) {
+    if (it->mEntry.mVersion != target && aService.mRolledBack.count(it->mEntry.mVersion) == 0) {
+      ++counts[it->mEntry.mVersion];
+    }
+  }
+  const auto most =
+    std::max_element(counts.begin(), counts.end(), [](const auto& aL, const auto& aR) {
+      return aL.second < aR.second;
+    });
+  if (most != counts.end()) {
+    aService.mBase = most->first;
+  }
+}
+
+double RolloutBook::Progress(const Rollout& aRollout, TimePoint aNow) const
+{
+  const auto period = std::max(aRollout.mOrder.mPeriod, std::chrono::milliseconds(1));
+  return std::chrono::duration<double>(aNow - aRollout.mStart) / period;
+}
+
+bool RolloutBook::MayExpose(const Rollout& aRollout, double aShare) const
+{
+  const double slack = mBound.mSlack / static_cast<double>(std::max<std::size_t>(mInstances, 1));
+  const double share = std::min(aShare * 1.2, mBound.mShare);
+  return static_cast<double>(aRollout.mSentToNewer) + 1 <=
+         kUsedExposure * (share * static_cast<double>(aRollout.mSent) + slack);
+}
+
+bool RolloutBook::ChoosesNewer(const Rollout& aRollout,
+                               const std::string& aSessionKey,
+                               TimePoint aNow) const
+{
+  const double progress = Progress(aRollout, aNow);
+  const auto session = mSessions.find(aSessionKey);
+  const bool isLive =
+    session != mSessions.end() && aNow - session->second.mLastUse < mSessionLifetime;
+  if (isLive && session->second.mVersion == aRollout.mOrder.mTarget) {
+    return true;
+  }
+  if (progress < kTrialFrom) {
+    return false;
+  }
+  const bool hasEvidence = aRollout.mJudge.NewerAnswers() >= kLeastAnswers;
+  if (progress >= kAllFrom && hasEvidence) {
+    return true;
+  }
+  if (progress >= kWiderFrom && hasEvidence) {
+    return Draw(aSessionKey, aRollout.mOrder.mTarget) < kWiderShare;
+  }
+  return !isLive && Draw(aSessionKey, aRollout.mOrder.mTarget) < kTrialShare &&
+         MayExpose(aRollout, kTrialShare);
+}
+
+void RolloutBook::SelectVersion(const ServiceName& aService,
+                                const std::string& aKey,
+                                std::vector<FleetRow*>& aOpen,
+                                TimePoint aNow)
+{
+  auto& service = mServices[aService];
+  if (!HasVersion(aOpen, service.mBase)) {
+    LearnBase(service, aOpen);
+  }
+  auto& rollout = service.mRollout;
+  const bool isRunning =
+    rollout && rollout->mOrder.mState == RolloutState::Running && !rollout->mIsStopped;
+  if (isRunning && HasVersion(aOpen, rollout->mOrder.mTarget)) {
+    const bool hasOlder = HasVersion(aOpen, service.mBase);
+    const double progress = Progress(*rollout, aNow);
+    if (!hasOlder || ChoosesNewer(*rollout, SessionKey(aService, aKey), aNow)) {
+      KeepVersion(aOpen, rollout->mOrder.mTarget);
+      if (hasOlder && progress < kWiderFrom) {
+        KeepTrialEndpoints(aOpen, kTrialShare);
+      }
+      return;
+    }
+  }
+  KeepVersion(aOpen, service.mBase);
+}
+
+void RolloutBook::OnSent(const ServiceName& aService,
+                         const std::string& aVersion,
+                         const std::string& aKey,
+                         TimePoint aNow)
+{
+  auto& service = mServices[aService];
+  if (service.mRollout && service.mRollout->mOrder.mState == RolloutState::Running) {
+    ++service.mRollout->mSent;
+    if (aVersion == service.mRollout->mOrder.mTarget) {
+      ++service.mRollout->mSentToNewer;
+    }
+  }
+  if (!aKey.empty() && mSessions.size() < kMostSessions) {
+    mSessions[SessionKey(aService, aKey)] = Session{ aVersion, aNow };
+  }
+}
+
+void RolloutBook::OnAnswer(const ServiceName& aService,
+                           const std::string& aVersion,
+                           const VersionCounts& aCounts)
+{
+  auto& rollout = mServices[aService].mRollout;
+  if (!rollout || rollout->mOrder.mState != RolloutState::Running) {
+    return;
+  }
+  if (aVersion == rollout->mOrder.mTarget) {
+    rollout->mNewer += aCounts;
+    rollout->mJudge.AddNewer(aCounts);
+    if (rollout->mJudge.IsBad()) {
+      Stop(*rollout);
+    }
+  } else {
+    rollout->mOlder += aCounts;
+    rollout->mJudge.AddOlder(aCounts);
+  }
+}
+
+bool RolloutBook::OnEvidence(const RolloutEvidence& aEvidence, TimePoint aNow)
+{
+  const auto service = mServices.find(aEvidence.mService);
+  if (service == mServices.end() || !service->second.mRollout ||
+      service->second.mRollout->mOrder.mTarget != aEvidence.mTarget) {
+    return false;
+  }
+  auto& rollout = *service->second.mRollout;
+  rollout.mStart = std::min(rollout.mStart, aNow - aEvidence.mAge);
+  const bool wasStopped = rollout.mIsStopped;
+  if (aEvidence.mInstance != mSelf) {
+    auto& known = rollout.mPeers[aEvidence.mInstance];
+    if (aEvidence.mOlder.mAnswers >= known.mOlder.mAnswers &&
+        aEvidence.mNewer.mAnswers >= known.mNewer.mAnswers) {
+      rollout.mJudge.AddOlder(aEvidence.mOlder - known.mOlder);
+      rollout.mJudge.AddNewer(aEvidence.mNewer - known.mNewer);
+      known = aEvidence;
+    }
+  }
+  if (aEvidence.mIsStopped || rollout.mJudge.IsBad()) {
+    Stop(rollout);
+  }
+  return rollout.mIsStopped && !wasStopped;
+}
+
+std::vector<RolloutEvidence> RolloutBook::Evidence(TimePoint aNow) const
+{
+  std::vector<RolloutEvidence> all;
+  for (const auto& [name, service] : mServices) {
+    if (!service.mRollout || service.mRollout->mOrder.mState != RolloutState::Running) {
+      continue;
+    }
+    const auto& rollout = *service.mRollout;
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - rollout.mStart);
+    RolloutEvidence own{ name, rollout.mOrder.mTarget, mSelf, rollout.mOlder, rollout.mNewer,
+                         age,  rollout.mIsStopped };
+    all.push_back(own);
+    for (const auto& [instance, evidence] : rollout.mPeers) {
+      all.push_back(evidence);
+      all.back().mAge = age;
+      all.back().mIsStopped = rollout.mIsStopped;
+    }
+  }
+  return all;
+}
+
+RolloutStep RolloutBook::NextStep(const ServiceName& aService, TimePoint aNow) const
+{
+  const auto service = mServices.find(aService);
+  if (service == mServices.end() || !service->second.mRollout) {
+    return RolloutStep::None;
+  }
+  const auto& rollout = *service->second.mRollout;
+  if (rollout.mOrder.mState != RolloutState::Running) {
+    return RolloutStep::None;
+  }
+  if (rollout.mIsStopped) {
+    return RolloutStep::RollBack;
+  }
+  const bool hasEvidence = rollout.mJudge.NewerAnswers() >= kLeastAnswers;
+  return hasEvidence && Progress(rollout, aNow) >= kCompleteFrom ? RolloutStep::Complete
+                                                                 : RolloutStep::None;
+}
+
+const RolloutOrder* RolloutBook::Order(const ServiceName& aService) const
+{
+  const auto service = mServices.find(aService);
+  return service == mServices.end() || !service->second.mRollout
+           ? nullptr
+           : &service->second.mRollout->mOrder;
+}
+
+std::vector<ServiceName> RolloutBook::Services() const
+{
+  std::vector<ServiceName> names;
+  for (const auto& [name, service] : mServices) {
+    if (service.mRollout) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+void RolloutBook::Prune(TimePoint aNow)
+{
+  std::erase_if(mSessions, [&](const auto& aSession) {
+    return aNow - aSession.second.mLastUse >= mSessionLifetime;
+  });
+}
+
+void RolloutBook::Stop(Rollout& aRollout)
+{
+  aRollout.mIsStopped = true;
+}
+
+} // namespace skylarkchute
