A connection ends after its answer when the process leaves

Ruled out: the listener (closed 3 s after SIGTERM) and late answers. Test: CallerTests, failed first.

--- a/modules/skylarkchute_relay/callers/CallerConnection.cpp
+++ b/modules/skylarkchute_relay/callers/CallerConnection.cpp
@@ -273,7 +273,9 @@
 void CallerConnection::OnAnswerWritten()
 {
   mRequest.reset();
-  if (mCloses) {
+  // An answer whose head was sent before the process was told to stop does not announce the end; a
+  // request that crosses it has not been read, so that its caller may send it again.
+  if (ClosesAfterAnswer()) {
     // Closing with unread bytes would reset the connection and could destroy the answer.
     ErrorCode ec;
     mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
--- a/modules/skylarkchute_relay/callers/CallerServer.h
+++ b/modules/skylarkchute_relay/callers/CallerServer.h
@@ -15,6 +15,9 @@
   /** Listens. @returns false when the address cannot be had */
   bool Listen(const boost::asio::ip::tcp::endpoint& aAddress);
 
+  /** Returns the address listened on. */
+  boost::asio::ip::tcp::endpoint Address() const { return mAcceptor.local_endpoint(); }
+
   /** Accepts no further connections. */
   void StopAccepting();
 
--- /dev/null
+++ b/tests/skylarkchute_relay/AttemptTests.cpp
@@ -0,0 +1,140 @@
+#include "RelayFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace skylarkchute;
+
+namespace {
+
+/** Returns how often a text stands in another. */
+std::size_t Count(const std::string& aText, const std::string& aPart)
+{
+  std::size_t count = 0;
+  for (auto at = aText.find(aPart); at != std::string::npos; at = aText.find(aPart, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+} // namespace
+
+TEST_CASE("a stream goes on at another endpoint after its last whole event")
+{
+  RelayFixture relay;
+  std::vector<std::string> resumed;
+  const auto script = [&](const std::string& aRequest, const FakeEndpoint::Socket& aSocket) {
+    const bool isResumed = aRequest.find("Last-Event-Id: 2") != std::string::npos;
+    if (isResumed) {
+      resumed.push_back(aRequest);
+      WriteAll(aSocket, StreamHead(aRequest) + EventChunk(3) + EventChunk(4) + "0\r\n\r\n");
+      return;
+    }
+    // The third event is cut in the middle.
+    WriteAll(aSocket, StreamHead(aRequest) + EventChunk(1) + EventChunk(2) + "8\r\nid: 3\nda\r\n");
+    aSocket->close();
+  };
+  FakeEndpoint first(relay.mLoop, script);
+  FakeEndpoint second(relay.mLoop, script);
+  relay.AddEndpoint("e1", first.Address());
+  relay.AddEndpoint("e2", second.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.Gather(caller);
+  relay.Send(caller, CallerRequest("POST", "/chat/1", "r1", "x"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("\r\n0\r\n\r\n") != std::string::npos; }));
+  CHECK(resumed.size() == 1);
+  for (int id = 1; id <= 4; ++id) {
+    CHECK(Count(*answer, "id: " + std::to_string(id) + "\ndata: x\n\n") == 1);
+  }
+  CHECK(Count(*answer, "HTTP/1.1") == 1);
+}
+
+TEST_CASE("an answer of another request is skipped, not passed on")
+{
+  RelayFixture relay;
+  FakeEndpoint endpoint(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(
+      aSocket,
+      "HTTP/1.1 200 OK\r\nSkylarkchute-Request-Id: other\r\nSkylarkchute-Response-Seal: s0\r\n"
+      "Content-Length: 5\r\n\r\nwrong" +
+        SealedAnswer(aRequest, 200, "right"));
+  });
+  relay.AddEndpoint("e1", endpoint.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.Gather(caller);
+  relay.Send(caller, CallerRequest("GET", "/check/1", "r1"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("right") != std::string::npos; }));
+  CHECK(answer->find("wrong") == std::string::npos);
+}
+
+TEST_CASE("a request that may not be repeated is not sent again after its connection is lost")
+{
+  RelayFixture relay;
+  std::size_t received = 0;
+  const auto script = [&](const std::string&, const FakeEndpoint::Socket& aSocket) {
+    ++received;
+    aSocket->close();
+  };
+  FakeEndpoint first(relay.mLoop, script);
+  FakeEndpoint second(relay.mLoop, script);
+  relay.AddEndpoint("e1", first.Address());
+  relay.AddEndpoint("e2", second.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.Gather(caller);
+  relay.Send(caller, CallerRequest("POST", "/order/1", "r1", "x"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("HTTP/1.1 ") != std::string::npos; }));
+  CHECK(answer->find("HTTP/1.1 502") == 0);
+  CHECK(received == 1);
+}
+
+TEST_CASE("an endpoint that states that it did not run a request is followed by another one")
+{
+  RelayFixture relay;
+  std::size_t shed = 0;
+  const auto script = [&](const std::string& aRequest, const FakeEndpoint::Socket& aSocket) {
+    if (shed == 0) {
+      ++shed;
+      WriteAll(aSocket,
+               "HTTP/1.1 503 X\r\nSkylarkchute-Request-Id: r1\r\nSkylarkchute-Not-Executed: 1\r\n"
+               "Content-Length: 0\r\n\r\n");
+      return;
+    }
+    WriteAll(aSocket, SealedAnswer(aRequest, 200, "done"));
+  };
+  FakeEndpoint first(relay.mLoop, script);
+  FakeEndpoint second(relay.mLoop, script);
+  relay.AddEndpoint("e1", first.Address());
+  relay.AddEndpoint("e2", second.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.Gather(caller);
+  relay.Send(caller, CallerRequest("POST", "/order/1", "r1", "x"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("done") != std::string::npos; }));
+  CHECK(first.mRequests.size() + second.mRequests.size() == 2);
+}
+
+TEST_CASE("with no endpoint a request is refused at once, as not run and with a time to return")
+{
+  RelayFixture relay;
+  const auto caller = relay.Connect();
+  const auto answer = relay.Gather(caller);
+  relay.Send(caller, CallerRequest("POST", "/order/1", "r1", "x"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("\r\n\r\n") != std::string::npos; }));
+  CHECK(answer->find("HTTP/1.1 503") == 0);
+  CHECK(answer->find("Retry-After: 0.") != std::string::npos);
+}
+
+TEST_CASE("a caller that leaves ends the attempt at the endpoint")
+{
+  RelayFixture relay;
+  bool isClosed = false;
+  const auto buffer = std::make_shared<std::array<char, 16>>();
+  FakeEndpoint endpoint(relay.mLoop, [](const std::string&, const auto&) {});
+  relay.AddEndpoint("e1", endpoint.Address());
+  const auto caller = relay.Connect();
+  relay.Send(caller, CallerRequest("POST", "/chat/1", "r1", "x"));
+  REQUIRE(relay.RunUntil([&] { return endpoint.mRequests.size() == 1; }));
+  REQUIRE(relay.mRouter.Endpoints().Find(EndpointId("e1"))->mOutstanding == 1);
+  caller->close();
+  isClosed = relay.RunUntil(
+    [&] { return relay.mRouter.Endpoints().Find(EndpointId("e1"))->mOutstanding == 0; });
+  CHECK(isClosed);
+}
--- /dev/null
+++ b/tests/skylarkchute_relay/CallerTests.cpp
@@ -0,0 +1,67 @@
+#include "RelayFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace skylarkchute;
+
+TEST_CASE("an answer is passed on whole, with its seal")
+{
+  RelayFixture relay;
+  FakeEndpoint endpoint(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(aSocket, SealedAnswer(aRequest, 200, "hello"));
+  });
+  relay.AddEndpoint("e1", endpoint.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.Gather(caller);
+  relay.Send(caller, CallerRequest("POST", "/order/1", "r1", "body"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("hello") != std::string::npos; }));
+  CHECK(answer->find("HTTP/1.1 200 ") == 0);
+  CHECK(answer->find("Skylarkchute-Response-Seal: s1") != std::string::npos);
+  REQUIRE(endpoint.mRequests.size() == 1);
+  CHECK(endpoint.mRequests[0].find("\r\n\r\nbody") != std::string::npos);
+  CHECK(endpoint.mRequests[0].find("Skylarkchute-Expect-Instance: e1") != std::string::npos);
+}
+
+TEST_CASE("headers that only the relay sets are not taken from callers")
+{
+  RelayFixture relay;
+  FakeEndpoint endpoint(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(aSocket, SealedAnswer(aRequest, 200, "hello"));
+  });
+  relay.AddEndpoint("e1", endpoint.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.Gather(caller);
+  relay.Send(
+    caller,
+    "GET /check/1 HTTP/1.1\r\nHost: site\r\nSkylarkchute-Request-Id: r1\r\n"
+    "skylarkchute-tenant: forged\r\nSkylarkchute-Hold: h\r\nKv-From: a\r\n"
+    "Skylarkchute-Credential: secret\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n\r\n");
+  REQUIRE(relay.RunUntil([&] { return answer->find("hello") != std::string::npos; }));
+  const auto& request = endpoint.mRequests.at(0);
+  CHECK(request.find("forged") == std::string::npos);
+  CHECK(request.find("Hold") == std::string::npos);
+  CHECK(request.find("Kv-From") == std::string::npos);
+  CHECK(request.find("secret") == std::string::npos);
+  CHECK(request.find("X-Hop") == std::string::npos);
+  CHECK(request.find("X-Kept: 2") != std::string::npos);
+}
+
+TEST_CASE("a connection ends after the answer under way when the process leaves")
+{
+  // The head of the stream was sent before the order to stop, without word of the connection's end.
+  RelayFixture relay;
+  FakeEndpoint::Socket held;
+  FakeEndpoint endpoint(relay.mLoop, [&](const std::string& aRequest, const auto& aSocket) {
+    held = aSocket;
+    WriteAll(aSocket, StreamHead(aRequest) + EventChunk(1));
+  });
+  relay.AddEndpoint("e1", endpoint.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.Gather(caller);
+  relay.Send(caller, CallerRequest("POST", "/chat/1", "r1", "x"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("id: 1") != std::string::npos; }));
+  relay.mIsLeaving = true;
+  WriteAll(held, EventChunk(2) + "0\r\n\r\n");
+  REQUIRE(relay.RunUntil([&] { return answer->find("\r\n0\r\n\r\n") != std::string::npos; }));
+  CHECK(relay.RunUntil([&] { return relay.mEnded.at(0); }));
+}
--- /dev/null
+++ b/tests/skylarkchute_relay/FleetSyncTests.cpp
@@ -0,0 +1,88 @@
+#include "RelayFixture.h"
+
+#include <catch2/catch.hpp>
+#include <skylarkchute_relay/runtime/FleetSync.h>
+
+using namespace skylarkchute;
+
+namespace {
+
+StoreObject Endpoint(const std::string& aName, std::uint64_t aRevision, const std::string& aSpec)
+{
+  return {
+    aName, aRevision, false, R"({"Metadata":{"Name":")" + aName + R"("},"Spec":)" + aSpec + "}"
+  };
+}
+
+constexpr const char* kReady =
+  R"({"Service":"svc","Address":"10.0.0.1:1","Zone":"a","Version":"v1","Slots":4,"State":"ready"})";
+
+/** A mirror that feeds a router, as in the runtime. */
+struct SyncFixture
+{
+  RelayFixture mRelay;
+  FleetSync mSync{ mRelay.mRouter, mRelay.mPool, mRelay.mLog };
+  StoreMirror mMirror{ [this](ObjectKind aKind, const StoreObject& aObject) {
+    mSync.OnObject(aKind, aObject);
+  } };
+  TimePoint mNow{ std::chrono::hours(1) };
+
+  bool Serves(const std::string& aName)
+  {
+    return mRelay.mRouter.Endpoints().Find(EndpointId(aName)) != nullptr;
+  }
+};
+
+} // namespace
+
+TEST_CASE("an endpoint that is removed after the store's return has left")
+{
+  // A server left 0.8 s after an outage; kept as lapsed, it got a request 2 s after its leaving.
+  SyncFixture fixture;
+  fixture.mMirror.Replace(
+    ObjectKind::Endpoints, { 10, { Endpoint("e1", 5, kReady) } }, fixture.mNow);
+  fixture.mSync.SetStoreServes(false);
+  fixture.mMirror.Replace(
+    ObjectKind::Endpoints, { 12, { Endpoint("e1", 5, kReady) } }, fixture.mNow);
+  fixture.mSync.SetStoreServes(true);
+  StorePage page;
+  page.mAsOf = 13;
+  page.mObjects = { { "e1", 5, true, "" } };
+  fixture.mMirror.Apply(ObjectKind::Endpoints, page, fixture.mNow);
+  CHECK_FALSE(fixture.Serves("e1"));
+}
+
+TEST_CASE("an endpoint that is missing in the first list after an outage may come back")
+{
+  SyncFixture fixture;
+  fixture.mMirror.Replace(
+    ObjectKind::Endpoints, { 10, { Endpoint("e1", 5, kReady) } }, fixture.mNow);
+  fixture.mSync.SetStoreServes(false);
+  fixture.mMirror.Replace(ObjectKind::Endpoints, { 12, {} }, fixture.mNow);
+  fixture.mSync.SetStoreServes(true);
+  CHECK(fixture.Serves("e1"));
+}
+
+TEST_CASE("an entry of a foreign writer names no endpoint, the others hold")
+{
+  SyncFixture fixture;
+  fixture.mMirror.Replace(ObjectKind::Endpoints,
+                          { 10,
+                            { Endpoint("e1", 5, kReady),
+                              Endpoint("e2", 6, R"({"Service":"svc","Address":7})"),
+                              Endpoint("e3", 7, "null") } },
+                          fixture.mNow);
+  CHECK(fixture.Serves("e1"));
+  CHECK_FALSE(fixture.Serves("e2"));
+  CHECK_FALSE(fixture.Serves("e3"));
+}
+
+TEST_CASE("a mirror never goes back to an older state of the store")
+{
+  SyncFixture fixture;
+  fixture.mMirror.Replace(
+    ObjectKind::Endpoints, { 10, { Endpoint("e1", 5, kReady) } }, fixture.mNow);
+  fixture.mMirror.Replace(ObjectKind::Endpoints, { 9, {} }, fixture.mNow);
+  CHECK(fixture.Serves("e1"));
+  CHECK(fixture.mMirror.AsOf(ObjectKind::Endpoints) == 10);
+}
