Removals after the store's return are real; subjects in trial are known fleet-wide

Now only what is missing in the first answer after an outage may have lapsed. Instances now tell each other the uses of subjects in the trial, and move a subject only after a session's length of listening.

--- a/modules/skylarkchute_core/events/EventLog.cpp
+++ b/modules/skylarkchute_core/events/EventLog.cpp
@@ -52,7 +52,7 @@
 
 void EventLog::Write(const LogEvent& aEvent) const
 {
-  if (aEvent.mDescription->mLevel < mMinimum) {
+  if (!Accepts(*aEvent.mDescription)) {
     return;
   }
   SharedLogger()->log(LevelOf(aEvent.mDescription->mLevel), Render(aEvent));
--- a/modules/skylarkchute_core/events/EventLog.h
+++ b/modules/skylarkchute_core/events/EventLog.h
@@ -21,6 +21,12 @@
       @param aMinimum   events below this level are dropped */
   EventLog(std::string aInstance, LogFormat aFormat, EventLevel aMinimum);
 
+  /** Returns whether events of the description are written; asked before costly fields are made. */
+  bool Accepts(const EventDescription& aDescription) const
+  {
+    return aDescription.mLevel >= mMinimum;
+  }
+
   /** Writes one event. */
   void Write(const LogEvent& aEvent) const;
 
--- a/modules/skylarkchute_relay/events/RelayEvents.cpp
+++ b/modules/skylarkchute_relay/events/RelayEvents.cpp
@@ -4,11 +4,11 @@
 
 std::vector<const EventDescription*> RelayEvents()
 {
-  return { &kRelayStarted,     &kRelayReady,         &kRelayStopping,      &kRelayStopped,
-           &kSettingsReloaded, &kSettingsRefused,    &kProcessPaused,      &kConfigInForce,
-           &kObjectIgnored,    &kEndpointChanged,    &kRolloutChanged,     &kRolloutStopped,
-           &kStoreLost,        &kStoreRegained,      &kStoreWrite,         &kPeerLost,
-           &kPeerRegained,     &kRelayAttemptFailed, &kRelayRequestRefused };
+  return { &kRelayStarted,     &kRelayReady,         &kRelayStopping,       &kRelayStopped,
+           &kSettingsReloaded, &kSettingsRefused,    &kProcessPaused,       &kConfigInForce,
+           &kObjectIgnored,    &kEndpointChanged,    &kRolloutChanged,      &kRolloutStopped,
+           &kStoreLost,        &kStoreRegained,      &kStoreWrite,          &kPeerLost,
+           &kPeerRegained,     &kRelayAttemptFailed, &kRelayRequestRefused, &kAnswerBegun };
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -111,6 +111,13 @@
   "A request was refused; no endpoint has run it."
 };
 
+inline constexpr EventDescription kAnswerBegun{
+  1142,
+  EventLevel::Debug,
+  "answer-begun",
+  "An endpoint began to answer; says how loaded it was and what the answer is worth."
+};
+
 /** Returns every event of this module. */
 std::vector<const EventDescription*> RelayEvents();
 
--- a/modules/skylarkchute_relay/peers/PeerExchange.cpp
+++ b/modules/skylarkchute_relay/peers/PeerExchange.cpp
@@ -56,9 +56,28 @@
   value["newer"] = CountsJson(aEvidence.mNewer);
   value["age_ms"] = Json::Int64(aEvidence.mAge.count());
   value["stopped"] = aEvidence.mIsStopped;
+  for (const auto& it : aEvidence.mUses) {
+    Json::Value use(Json::arrayValue);
+    use.append(Json::UInt64(it.mSubject));
+    use.append(it.mIsNewer);
+    use.append(Json::Int64(it.mAge.count()));
+    value["uses"].append(use);
+  }
   return value;
 }
 
+std::vector<SubjectUse> UsesOf(const Json::Value& aValue)
+{
+  std::vector<SubjectUse> uses;
+  for (const auto& it : JsonArrayField(aValue, "uses")) {
+    if (it.isArray() && it.size() == 3 && it[0].isUInt64() && it[1].isBool() && it[2].isInt64()) {
+      uses.push_back(
+        { it[0].asUInt64(), it[1].asBool(), std::chrono::milliseconds(it[2].asInt64()) });
+    }
+  }
+  return uses;
+}
+
 RolloutEvidence EvidenceOf(const Json::Value& aValue)
 {
   return { ServiceName(JsonTextField(aValue, "service")),
@@ -67,7 +86,8 @@
            CountsOf(aValue["older"]),
            CountsOf(aValue["newer"]),
            std::chrono::milliseconds(JsonIntegerField(aValue, "age_ms")),
-           JsonFlagField(aValue, "stopped") };
+           JsonFlagField(aValue, "stopped"),
+           UsesOf(aValue) };
 }
 
 } // namespace
--- a/modules/skylarkchute_relay/peers/PeerExchange.h
+++ b/modules/skylarkchute_relay/peers/PeerExchange.h
@@ -2,7 +2,7 @@
 
 #include "../store/StoreMirror.h"
 
-#include <skylarkchute_routing/skylarkchute_routing.h>
+#include <skylarkchute_routing/fleet/Fleet.h>
 
 #include <map>
 #include <optional>
--- a/modules/skylarkchute_relay/peers/PeerMesh.cpp
+++ b/modules/skylarkchute_relay/peers/PeerMesh.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds kCallTimeout{ 700 };
 
 /** An instance that was not heard for this long is not counted as live: several calls failed. */
-constexpr milliseconds kLiveFor{ 2500 };
+constexpr milliseconds kLiveFor{ 5000 };
 
 } // namespace
 
--- a/modules/skylarkchute_relay/requests/RelayContext.h
+++ b/modules/skylarkchute_relay/requests/RelayContext.h
@@ -3,7 +3,7 @@
 #include "../endpoints/EndpointPool.h"
 
 #include <boost/asio/io_context.hpp>
-#include <skylarkchute_routing/skylarkchute_routing.h>
+#include <skylarkchute_routing/fleet/Fleet.h>
 
 namespace skylarkchute {
 
--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -170,8 +170,11 @@
     return;
   }
   mHasFirstByte = true;
-  mContext.mRouter.OnFirstByte(
-    *mPlan, *mAttempt, std::chrono::duration_cast<std::chrono::microseconds>(Now() - mSentAt));
+  const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(Now() - mSentAt);
+  if (mContext.mLog.Accepts(kAnswerBegun)) {
+    LogFirstByte(latency);
+  }
+  mContext.mRouter.OnFirstByte(*mPlan, *mAttempt, latency);
 }
 
 void RelayedRequest::OnBody(std::string aBytes)
@@ -349,6 +352,24 @@
                           { "config", std::to_string(mPlan->mConfig->Config().mVersion) } } });
 }
 
+void RelayedRequest::LogFirstByte(std::chrono::microseconds aLatency)
+{
+  const auto* row = mContext.mRouter.Endpoints().Find(mAttempt->mEndpoint);
+  const auto load = mEndpointHead.mLoad.value_or(ReportedLoad{});
+  mContext.mLog.Write({ &kAnswerBegun,
+                        { { "request", mId },
+                          { "route", mPlan->mRoute->mName },
+                          { "endpoint", mAttempt->mEndpoint.Value() },
+                          { "version", mAttempt->mVersion },
+                          { "size", mAttempt->mSize ? std::to_string(*mAttempt->mSize) : "" },
+                          { "latency_ms", std::to_string(aLatency.count() / 1000) },
+                          { "outstanding", std::to_string(row == nullptr ? 0 : row->mOutstanding) },
+                          { "running", std::to_string(load.mRunning) },
+                          { "waiting", std::to_string(load.mWaiting) },
+                          { "prompt_tokens", std::to_string(mPlan->mPromptTokens) },
+                          { "confidence", WriteNumber(mEndpointHead.mConfidence.value_or(0)) } } });
+}
+
 /** Makes the next attempt after one that brought no answer, if there is one to make. */
 void RelayedRequest::GoOn()
 {
--- a/modules/skylarkchute_relay/requests/RelayedRequest.h
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.h
@@ -64,6 +64,7 @@
   void AnswerOwn(unsigned aStatus, std::string_view aReason, std::chrono::milliseconds aRetryAfter);
   void Finish();
   void LogAttempt(RelayOutcome aOutcome);
+  void LogFirstByte(std::chrono::microseconds aLatency);
 
   RelayContext& mContext;
   CallerHead mHead;
--- a/modules/skylarkchute_relay/runtime/FleetSync.cpp
+++ b/modules/skylarkchute_relay/runtime/FleetSync.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-/** Entries lapse in a store outage and come back soon after it; until then a removal says
-    little. */
-constexpr std::chrono::milliseconds kLapsePeriod{ 3000 };
-
 /** The operator's one object of its kind. */
 constexpr const char* kConfigName = "main";
 
@@ -95,8 +91,7 @@
     Ignore(ObjectKind::Endpoints, aObject);
   }
   if (!endpoint) {
-    const bool mayReturn = aObject.mIsDeleted && mLastStoreFailure != TimePoint{} &&
-                           Now() - mLastStoreFailure < kLapsePeriod;
+    const bool mayReturn = aObject.mIsDeleted && !mStoreServes;
     mRouter.Endpoints().Remove(id, mayReturn, Now());
     if (!mayReturn) {
       mPool.Drop(id);
--- a/modules/skylarkchute_relay/runtime/FleetSync.h
+++ b/modules/skylarkchute_relay/runtime/FleetSync.h
@@ -18,8 +18,9 @@
   /** Takes in one object that changed or was removed. */
   void OnObject(ObjectKind aKind, const StoreObject& aObject);
 
-  /** Notes that the store failed this instance just now: entries may lapse without a reason. */
-  void OnStoreFailure(TimePoint aNow) { mLastStoreFailure = aNow; }
+  /** Notes whether the store serves this instance. What is missing in its first answer after an
+      outage may have lapsed without a reason; what is removed later has left. */
+  void SetStoreServes(bool aServes) { mStoreServes = aServes; }
 
 private:
   void OnConfig(const StoreObject& aObject);
@@ -32,7 +33,7 @@
   EndpointPool& mPool;
   const EventLog& mLog;
   PeerMesh* mMesh = nullptr;
-  TimePoint mLastStoreFailure{};
+  bool mStoreServes = true;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -387,6 +387,9 @@
 
 void RelayRuntime::OnStoreAnswer(ObjectKind aKind)
 {
+  if (aKind == ObjectKind::Endpoints) {
+    mSync.SetStoreServes(true);
+  }
   if (mFailedKinds.erase(aKind) > 0 && mFailedKinds.empty()) {
     mLog.Write({ &kStoreRegained, {} });
   }
@@ -394,7 +397,9 @@
 
 void RelayRuntime::OnStoreFailure(ObjectKind aKind, const std::string& aReason)
 {
-  mSync.OnStoreFailure(Now());
+  if (aKind == ObjectKind::Endpoints) {
+    mSync.SetStoreServes(false);
+  }
   if (mFailedKinds.empty()) {
     mLog.Write(
       { &kStoreLost, { { "kind", std::string(KindName(aKind)) }, { "reason", aReason } } });
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -92,6 +92,8 @@
     plan.mSession = plan.mAffinity;
   }
   plan.mFingerprint = aRequest.mFingerprint;
+  plan.mPromptTokens = aRequest.mPromptTokens;
+  plan.mOutputTokens = aRequest.mOutputTokens;
   plan.mPriority =
     plan.mTeam != nullptr && plan.mTeam->mPriority ? *plan.mTeam->mPriority : route.mPriority;
   plan.mArrival = aNow;
--- a/modules/skylarkchute_routing/fleet/RelayRequest.h
+++ b/modules/skylarkchute_routing/fleet/RelayRequest.h
@@ -59,6 +59,8 @@
   std::string mAffinity; /**< Longest shared part of the prompt. */
   std::string mSession;  /**< Subject whose requests keep their version. */
   std::uint64_t mFingerprint = 0;
+  std::uint64_t mPromptTokens = 0;
+  std::uint64_t mOutputTokens = 0; /**< Most that may be generated. */
   std::uint32_t mPriority = 0;
   TimePoint mArrival{};
   TimePoint mEnd{};    /**< Final answer is due: caller's deadline or the route's timeout. */
--- a/modules/skylarkchute_routing/fleet/RolloutBook.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutBook.cpp
@@ -8,9 +8,9 @@
 
 /** Parts of a rollout's period at which its share rises. Sessions may move after the first half;
     the rest leaves time for answers under way before the older endpoints stop. */
-constexpr double kTrialFrom = 0.02;
-constexpr double kWiderFrom = 0.54;
-constexpr double kAllFrom = 0.62;
+constexpr double kFreeFrom = 0.51; /**< Subjects in use may move. */
+constexpr double kWiderFrom = 0.6;
+constexpr double kAllFrom = 0.67;
 constexpr double kCompleteFrom = 0.88;
 
 constexpr double kTrialShare = 0.08;
@@ -23,17 +23,21 @@
 /** Answers of the newer version before all requests may move to it. */
 constexpr std::uint64_t kLeastAnswers = 20;
 
-constexpr std::size_t kMostSessions = 50000;
+constexpr std::size_t kMostSubjects = 50000;
 
-std::string SessionKey(const ServiceName& aService, const std::string& aKey)
+/** News of a subject take about this long to reach the other instances. */
+constexpr std::chrono::milliseconds kNewsDelay{ 1000 };
+
+std::uint64_t SubjectOf(const ServiceName& aService, const std::string& aKey)
 {
-  return aService.Value() + '\n' + aKey;
+  return StableHash(aKey, StableHash(aService.Value()));
 }
 
-double Draw(const std::string& aKey, const std::string& aTarget)
+/** Returns the subject's place from 0 to 1 in the order in which subjects move to a version. */
+double PlaceOf(std::uint64_t aSubject, const std::string& aTarget)
 {
   constexpr double kRange = 1.0 / 4294967296.0;
-  return static_cast<double>(StableHash(aKey, StableHash(aTarget)) >> 32U) * kRange;
+  return static_cast<double>(StableHash(aTarget, aSubject) >> 32U) * kRange;
 }
 
 void KeepVersion(std::vector<FleetRow*>& aRows, const std::string& aVersion)
@@ -131,28 +135,35 @@
 }
 
 bool RolloutBook::ChoosesNewer(const Rollout& aRollout,
-                               const std::string& aSessionKey,
+                               std::uint64_t aSubject,
+                               bool aHasSubject,
                                TimePoint aNow) const
 {
+  const auto& target = aRollout.mOrder.mTarget;
   const double progress = Progress(aRollout, aNow);
-  const auto session = mSessions.find(aSessionKey);
-  const bool isLive =
-    session != mSessions.end() && aNow - session->second.mLastUse < mSessionLifetime;
-  if (isLive && session->second.mVersion == aRollout.mOrder.mTarget) {
+  const auto known = mSubjects.find(aSubject);
+  const bool isLive = aHasSubject && known != mSubjects.end() &&
+                      aNow - known->second.mLastUse < mSessionLifetime + kNewsDelay;
+  if (isLive && known->second.mVersion == target) {
     return true;
   }
-  if (progress < kTrialFrom) {
-    return false;
-  }
   const bool hasEvidence = aRollout.mJudge.NewerAnswers() >= kLeastAnswers;
   if (progress >= kAllFrom && hasEvidence) {
     return true;
   }
+  const double place = PlaceOf(aSubject, target);
   if (progress >= kWiderFrom && hasEvidence) {
-    return Draw(aSessionKey, aRollout.mOrder.mTarget) < kWiderShare;
+    return place < kWiderShare;
+  }
+  if (place >= kTrialShare || !MayExpose(aRollout, kTrialShare)) {
+    return false;
   }
-  return !isLive && Draw(aSessionKey, aRollout.mOrder.mTarget) < kTrialShare &&
-         MayExpose(aRollout, kTrialShare);
+  if (progress >= kFreeFrom || !aHasSubject) {
+    return true;
+  }
+  // Uses on the other instances are known only after a session's length of listening.
+  const auto listening = aNow - std::max(mSince, aRollout.mStart);
+  return !isLive && listening >= mSessionLifetime + kNewsDelay;
 }
 
 void RolloutBook::SelectVersion(const ServiceName& aService,
@@ -160,6 +171,9 @@
                                 std::vector<FleetRow*>& aOpen,
                                 TimePoint aNow)
 {
+  if (mSince == TimePoint{}) {
+    mSince = aNow;
+  }
   auto& service = mServices[aService];
   if (!HasVersion(aOpen, service.mBase)) {
     LearnBase(service, aOpen);
@@ -170,7 +184,8 @@
   if (isRunning && HasVersion(aOpen, rollout->mOrder.mTarget)) {
     const bool hasOlder = HasVersion(aOpen, service.mBase);
     const double progress = Progress(*rollout, aNow);
-    if (!hasOlder || ChoosesNewer(*rollout, SessionKey(aService, aKey), aNow)) {
+    const auto subject = aKey.empty() ? StableHash({}, ++mDraws) : SubjectOf(aService, aKey);
+    if (!hasOlder || ChoosesNewer(*rollout, subject, !aKey.empty(), aNow)) {
       KeepVersion(aOpen, rollout->mOrder.mTarget);
       if (hasOlder && progress < kWiderFrom) {
         KeepTrialEndpoints(aOpen, kTrialShare);
@@ -193,8 +208,8 @@
       ++service.mRollout->mSentToNewer;
     }
   }
-  if (!aKey.empty() && mSessions.size() < kMostSessions) {
-    mSessions[SessionKey(aService, aKey)] = Session{ aVersion, aNow };
+  if (!aKey.empty() && mSubjects.size() < kMostSubjects) {
+    mSubjects[SubjectOf(aService, aKey)] = Subject{ aVersion, aNow };
   }
 }
 
@@ -227,6 +242,7 @@
   }
   auto& rollout = *service->second.mRollout;
   rollout.mStart = std::min(rollout.mStart, aNow - aEvidence.mAge);
+  NoteUses(rollout, service->second.mBase, aEvidence.mUses, aNow);
   const bool wasStopped = rollout.mIsStopped;
   if (aEvidence.mInstance != mSelf) {
     auto& known = rollout.mPeers[aEvidence.mInstance];
@@ -252,13 +268,19 @@
     }
     const auto& rollout = *service.mRollout;
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - rollout.mStart);
-    RolloutEvidence own{ name, rollout.mOrder.mTarget, mSelf, rollout.mOlder, rollout.mNewer,
-                         age,  rollout.mIsStopped };
-    all.push_back(own);
+    all.push_back({ name,
+                    rollout.mOrder.mTarget,
+                    mSelf,
+                    rollout.mOlder,
+                    rollout.mNewer,
+                    age,
+                    rollout.mIsStopped,
+                    UsesInTrial(rollout, aNow) });
     for (const auto& [instance, evidence] : rollout.mPeers) {
       all.push_back(evidence);
       all.back().mAge = age;
       all.back().mIsStopped = rollout.mIsStopped;
+      all.back().mUses.clear();
     }
   }
   return all;
@@ -301,10 +323,42 @@
   return names;
 }
 
+std::vector<SubjectUse> RolloutBook::UsesInTrial(const Rollout& aRollout, TimePoint aNow) const
+{
+  std::vector<SubjectUse> uses;
+  if (aRollout.mIsStopped || Progress(aRollout, aNow) >= kFreeFrom) {
+    return uses;
+  }
+  for (const auto& [subject, known] : mSubjects) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - known.mLastUse);
+    if (age < mSessionLifetime && PlaceOf(subject, aRollout.mOrder.mTarget) < kTrialShare) {
+      uses.push_back({ subject, known.mVersion == aRollout.mOrder.mTarget, age });
+    }
+  }
+  return uses;
+}
+
+void RolloutBook::NoteUses(const Rollout& aRollout,
+                           const std::string& aBase,
+                           const std::vector<SubjectUse>& aUses,
+                           TimePoint aNow)
+{
+  for (const auto& it : aUses) {
+    auto& known = mSubjects[it.mSubject];
+    const auto lastUse = aNow - it.mAge;
+    // One instance's move holds for all, whichever use was the last.
+    const bool isMove = it.mIsNewer && known.mVersion != aRollout.mOrder.mTarget;
+    if (lastUse > known.mLastUse || isMove) {
+      known.mVersion = it.mIsNewer ? aRollout.mOrder.mTarget : aBase;
+      known.mLastUse = std::max(lastUse, known.mLastUse);
+    }
+  }
+}
+
 void RolloutBook::Prune(TimePoint aNow)
 {
-  std::erase_if(mSessions, [&](const auto& aSession) {
-    return aNow - aSession.second.mLastUse >= mSessionLifetime;
+  std::erase_if(mSubjects, [&](const auto& aSubject) {
+    return aNow - aSubject.second.mLastUse >= mSessionLifetime + kNewsDelay;
   });
 }
 
--- a/modules/skylarkchute_routing/fleet/RolloutBook.h
+++ b/modules/skylarkchute_routing/fleet/RolloutBook.h
@@ -13,6 +13,14 @@
 
 namespace skylarkchute {
 
+/** A subject that was in use lately and is among those on which the newer version is tried. */
+struct SubjectUse
+{
+  std::uint64_t mSubject = 0; /**< Hash of service and subject. */
+  bool mIsNewer = false;      /**< The version that it used. */
+  std::chrono::milliseconds mAge{ 0 };
+};
+
 /** Counts of one instance on one rollout, as instances tell each other. Only ever grow. */
 struct RolloutEvidence
 {
@@ -23,6 +31,7 @@
   VersionCounts mNewer;
   std::chrono::milliseconds mAge{ 0 }; /**< Time since the order, as the instance knows it. */
   bool mIsStopped = false;             /**< Somebody found the version bad. */
+  std::vector<SubjectUse> mUses;       /**< On any instance, as far as known. */
 };
 
 /** Bounds of what a version that turns out bad may get. */
@@ -45,8 +54,9 @@
     Answers a version that turns bad while it is rolled in. Each instance holds its part of the
     exposure bound by itself; a few endpoints of the newer version get a small share, at the load
     that they would have later; evidence of all instances is pooled, and any of them stops the
-    version at once. Sessions keep their version through the first half. In the last part all
-    requests move, so that nothing runs on the older endpoints when they stop. */
+    version at once. Subjects keep their version through the first half: only those move that no
+    instance has seen for the length of a session. In the last part all requests move, so that
+    nothing runs on the older endpoints when they stop. */
 class RolloutBook
 {
 public:
@@ -121,7 +131,7 @@
     std::optional<Rollout> mRollout;
   };
 
-  struct Session
+  struct Subject
   {
     std::string mVersion;
     TimePoint mLastUse{};
@@ -129,7 +139,15 @@
 
   double Progress(const Rollout& aRollout, TimePoint aNow) const;
   bool MayExpose(const Rollout& aRollout, double aShare) const;
-  bool ChoosesNewer(const Rollout& aRollout, const std::string& aSessionKey, TimePoint aNow) const;
+  bool ChoosesNewer(const Rollout& aRollout,
+                    std::uint64_t aSubject,
+                    bool aHasSubject,
+                    TimePoint aNow) const;
+  std::vector<SubjectUse> UsesInTrial(const Rollout& aRollout, TimePoint aNow) const;
+  void NoteUses(const Rollout& aRollout,
+                const std::string& aBase,
+                const std::vector<SubjectUse>& aUses,
+                TimePoint aNow);
   void LearnBase(Service& aService, const std::vector<FleetRow*>& aRows) const;
   void Stop(Rollout& aRollout);
 
@@ -138,7 +156,9 @@
   std::chrono::milliseconds mSessionLifetime;
   std::size_t mInstances = 1;
   std::map<ServiceName, Service> mServices;
-  std::unordered_map<std::string, Session> mSessions; /**< By service and key. */
+  std::unordered_map<std::uint64_t, Subject> mSubjects; /**< By hash of service and subject. */
+  TimePoint mSince{};       /**< When this instance began to see uses. */
+  std::uint64_t mDraws = 0; /**< For requests without a subject. */
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/skylarkchute_routing.h
+++ b/modules/skylarkchute_routing/skylarkchute_routing.h
@@ -4,9 +4,6 @@
 
 #include "Router.h"
 #include "events/RoutingEvents.h"
-#include "fleet/FleetRouter.h"
-#include "fleet/ModelSizePolicy.h"
-#include "fleet/PlacementPolicy.h"
 #include "policy/cascade/CascadePolicy.h"
 #include "policy/health/VersionBreaker.h"
 #include "policy/health/VersionHealth.h"
--- /dev/null
+++ b/tests/skylarkchute_routing/FleetRouterTests.cpp
@@ -0,0 +1,173 @@
+#include "FleetFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+using namespace skylarkchute;
+using std::chrono::milliseconds;
+
+TEST_CASE("fleet: prompts with one shared part go to one endpoint, whichever instance chooses")
+{
+  FleetFixture first;
+  FleetFixture second;
+  first.AddEndpoints("e", 6);
+  second.AddEndpoints("e", 6);
+  std::set<EndpointId> used;
+  for (int subject = 0; subject < 30; ++subject) {
+    const auto name = "s" + std::to_string(subject);
+    auto one = first.Admit("/chat/1", name);
+    auto two = second.Admit("/chat/1", name);
+    const auto chosen = first.Run(one).mEndpoint;
+    CHECK(chosen == second.Run(two).mEndpoint);
+    used.insert(chosen);
+  }
+  CHECK(used.size() >= 5);
+}
+
+TEST_CASE("fleet: a subject that gets much of the traffic spreads over several endpoints")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 6);
+  std::map<EndpointId, int> held;
+  for (int i = 0; i < 60; ++i) {
+    auto plan = fleet.Admit("/chat/1", "hot");
+    ++held[fleet.Attempt(plan).mEndpoint];
+  }
+  for (const auto& [endpoint, count] : held) {
+    CHECK(count <= 16);
+  }
+}
+
+TEST_CASE("fleet: a draining endpoint gets nothing new")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 2);
+  auto entry = fleet.mRouter.Endpoints().Find(EndpointId("e0"))->mEntry;
+  entry.mDraining = true;
+  fleet.mRouter.Endpoints().Upsert(entry);
+  for (int i = 0; i < 20; ++i) {
+    auto plan = fleet.Admit("/check/1");
+    CHECK(fleet.Run(plan).mEndpoint == EndpointId("e1"));
+  }
+}
+
+TEST_CASE("fleet: an entry that lapses in a store outage serves on until it had time to return")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 1);
+  fleet.mRouter.Endpoints().Remove(EndpointId("e0"), true, fleet.mNow);
+  auto plan = fleet.Admit("/check/1");
+  CHECK(fleet.Run(plan).mEndpoint == EndpointId("e0"));
+  fleet.mNow += FleetTable::kReturnPeriod;
+  CHECK(fleet.mRouter.Tick(fleet.mNow).size() == 1);
+  auto later = fleet.Admit("/check/1");
+  CHECK(std::holds_alternative<RelayRefusal>(fleet.mRouter.NextAttempt(later, false, fleet.mNow)));
+}
+
+TEST_CASE("fleet: an endpoint that fails while others do not is avoided, then tried again")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 4);
+  int failed = 0;
+  for (int i = 0; i < 200; ++i) {
+    auto plan = fleet.Admit("/check/1");
+    const auto attempt = fleet.Attempt(plan);
+    fleet.mRouter.OnSent(plan, attempt, fleet.mNow);
+    const bool fails = attempt.mEndpoint == EndpointId("e2");
+    failed += fails ? 1 : 0;
+    if (!fails) {
+      fleet.mRouter.OnFirstByte(plan, attempt, milliseconds(20));
+    }
+    fleet.mRouter.OnEnded(
+      plan, attempt, fails ? RelayOutcome::Failed : RelayOutcome::Answered, fleet.mNow);
+    fleet.mNow += milliseconds(10);
+  }
+  CHECK(failed < 20);
+  CHECK(failed > 4);
+}
+
+TEST_CASE("fleet: repeats stay within the bound when everything fails")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 8);
+  fleet.mRouter.SetInstances(5);
+  int firsts = 0;
+  int repeats = 0;
+  for (int i = 0; i < 400; ++i) {
+    auto plan = fleet.Admit("/check/1");
+    for (int sends = 0;; ++sends) {
+      auto decision = fleet.mRouter.NextAttempt(plan, false, fleet.mNow);
+      if (!std::holds_alternative<AttemptPlan>(decision)) {
+        break;
+      }
+      const auto& attempt = std::get<AttemptPlan>(decision);
+      fleet.mRouter.OnSent(plan, attempt, fleet.mNow);
+      fleet.mRouter.OnEnded(plan, attempt, RelayOutcome::Lost, fleet.mNow);
+      (sends == 0 ? firsts : repeats) += 1;
+    }
+    fleet.mNow += milliseconds(20);
+  }
+  CHECK(firsts == 400);
+  CHECK(repeats <= 0.9 * firsts + 10);
+  CHECK(repeats > 0.5 * firsts);
+}
+
+TEST_CASE("fleet: a request that may not be repeated is planned once after it may have run")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 3);
+  auto plan = fleet.Admit("/order/1");
+  fleet.Run(plan, RelayOutcome::NotRun);
+  fleet.Run(plan, RelayOutcome::Lost);
+  CHECK(std::holds_alternative<RelayRefusal>(fleet.mRouter.NextAttempt(plan, false, fleet.mNow)));
+}
+
+TEST_CASE("fleet: an unsure small model is followed by the largest one while time allows")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 2);
+  auto plan = fleet.Admit("/chat/1", "s");
+  const auto small = fleet.Attempt(plan);
+  CHECK(small.mModel == ModelName("small"));
+  CHECK(fleet.mRouter.AsksLarger(plan, small, 10, fleet.mNow));
+  CHECK_FALSE(fleet.mRouter.AsksLarger(plan, small, 99, fleet.mNow));
+  CHECK(fleet.Attempt(plan, true).mModel == ModelName("large"));
+  fleet.mNow = plan.mTarget;
+  CHECK_FALSE(fleet.mRouter.AsksLarger(plan, small, 10, fleet.mNow));
+}
+
+TEST_CASE("fleet: a request that was at two crashes is refused, others are not")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 3);
+  RelayRequest request;
+  request.mHost = "site";
+  request.mPath = "/check/1";
+  request.mFingerprint = 42;
+  fleet.mRouter.Suspects().OnCrash({ 42, "e0~1" }, fleet.mNow);
+  CHECK(std::holds_alternative<RequestPlan>(fleet.mRouter.Admit(request, fleet.mNow)));
+  fleet.mRouter.Suspects().OnCrash({ 42, "e1~1" }, fleet.mNow);
+  CHECK(std::holds_alternative<RelayRefusal>(fleet.mRouter.Admit(request, fleet.mNow)));
+  request.mFingerprint = 43;
+  CHECK(std::holds_alternative<RequestPlan>(fleet.mRouter.Admit(request, fleet.mNow)));
+}
+
+TEST_CASE("fleet: the longest prefix of the host decides, whatever the host's case")
+{
+  RelayConfig config;
+  for (const auto* prefix : { "/a/", "/a/b/" }) {
+    RelayRoute route;
+    route.mName = prefix;
+    route.mHost = "Site.example";
+    route.mPathPrefix = prefix;
+    config.mRoutes.push_back(route);
+  }
+  const ConfigIndex index(std::move(config));
+  REQUIRE(index.FindRoute("sITE.example:80", "/a/b/c") != nullptr);
+  CHECK(index.FindRoute("sITE.example:80", "/a/b/c")->mName == "/a/b/");
+  CHECK(index.FindRoute("site.example", "/a/bc")->mName == "/a/");
+  CHECK(index.FindRoute("site.example", "/a") == nullptr);
+  CHECK(index.FindRoute("other", "/a/b/c") == nullptr);
+}
--- /dev/null
+++ b/tests/skylarkchute_routing/RolloutBookTests.cpp
@@ -0,0 +1,192 @@
+#include "FleetFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace skylarkchute;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr seconds kPeriod{ 24 };
+
+/** Sends requests of many subjects at 40 a second for a while; those on `v2` fail as asked. */
+struct Traffic
+{
+  int mOlder = 0;
+  int mNewer = 0;
+
+  template<typename Fails>
+  void Play(FleetFixture& aFleet, seconds aTime, const Fails& aFails)
+  {
+    for (int i = 0; i < aTime.count() * 40; ++i) {
+      aFleet.mNow += milliseconds(25);
+      auto plan = aFleet.Admit("/chat/1", "s" + std::to_string(mSubject++ % 400));
+      const auto attempt = aFleet.Attempt(plan);
+      const bool isNewer = attempt.mVersion == "v2";
+      (isNewer ? mNewer : mOlder) += 1;
+      aFleet.mRouter.OnSent(plan, attempt, aFleet.mNow);
+      const bool fails = isNewer && aFails(mNewer);
+      if (!fails) {
+        aFleet.mRouter.OnFirstByte(plan, attempt, milliseconds(50));
+      }
+      aFleet.mRouter.OnEnded(
+        plan, attempt, fails ? RelayOutcome::Failed : RelayOutcome::Answered, aFleet.mNow);
+    }
+  }
+
+  int mSubject = 0;
+};
+
+RolloutStep Step(FleetFixture& aFleet)
+{
+  return aFleet.mRouter.Rollouts().NextStep(ServiceName("svc"), aFleet.mNow);
+}
+
+} // namespace
+
+TEST_CASE("rollout: a version that was not ordered gets nothing")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("old", 3);
+  Traffic traffic;
+  traffic.Play(fleet, seconds(1), [](int) { return false; });
+  fleet.AddEndpoints("new", 3, "v2");
+  traffic.Play(fleet, seconds(2), [](int) { return false; });
+  CHECK(traffic.mNewer == 0);
+}
+
+TEST_CASE("rollout: a good version is tried, takes all requests and completes in time")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("old", 4);
+  fleet.AddEndpoints("new", 4, "v2");
+  fleet.Order("v2", kPeriod);
+  Traffic trial;
+  trial.Play(fleet, seconds(12), [](int) { return false; });
+  CHECK(trial.mNewer > 10);
+  CHECK(trial.mNewer < 0.15 * (trial.mNewer + trial.mOlder));
+  CHECK(Step(fleet) == RolloutStep::None);
+  Traffic rest;
+  rest.Play(fleet, seconds(6), [](int) { return false; });
+  Traffic last;
+  last.Play(fleet, seconds(4), [](int) { return false; });
+  CHECK(last.mOlder == 0);
+  CHECK(Step(fleet) == RolloutStep::Complete);
+}
+
+TEST_CASE("rollout: a version that fails is stopped long before the exposure bound")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("old", 4);
+  fleet.AddEndpoints("new", 4, "v2");
+  fleet.Order("v2", kPeriod);
+  Traffic traffic;
+  traffic.Play(fleet, seconds(10), [](int aIndex) { return aIndex % 2 == 0; });
+  CHECK(traffic.mNewer < 50);
+  CHECK(Step(fleet) == RolloutStep::RollBack);
+}
+
+TEST_CASE("rollout: a version that turns bad late is stopped within its exposure")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("old", 4);
+  fleet.AddEndpoints("new", 4, "v2");
+  fleet.Order("v2", kPeriod);
+  Traffic early;
+  early.Play(fleet, seconds(9), [](int) { return false; });
+  Traffic late;
+  late.Play(fleet, seconds(15), [](int aIndex) { return aIndex % 2 == 0; });
+  CHECK(Step(fleet) == RolloutStep::RollBack);
+  CHECK(early.mNewer + late.mNewer < 0.15 * 24 * 40 + 30);
+}
+
+TEST_CASE("rollout: a subject in use stays on the older version through the first half")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("old", 3);
+  fleet.AddEndpoints("new", 3, "v2");
+  const auto play = [&](seconds aTime) {
+    int newer = 0;
+    for (int i = 0; i < aTime.count(); ++i) {
+      fleet.mNow += seconds(1);
+      for (int subject = 0; subject < 40; ++subject) {
+        auto plan = fleet.Admit("/chat/1", "s" + std::to_string(subject));
+        newer += fleet.Run(plan).mVersion == "v2" ? 1 : 0;
+      }
+    }
+    return newer;
+  };
+  play(seconds(2));
+  fleet.Order("v2", kPeriod);
+  CHECK(play(seconds(12)) == 0);
+}
+
+TEST_CASE("rollout: a subject in use at another instance, or moved there, is known here")
+{
+  // An instance that was just added tried the newer version on subjects in use elsewhere.
+  FleetFixture busy;
+  FleetFixture added;
+  for (auto* it : { &busy, &added }) {
+    it->AddEndpoints("old", 3);
+    it->AddEndpoints("new", 3, "v2");
+    it->Order("v2", kPeriod);
+  }
+  const auto tell = [](FleetFixture& aFrom, FleetFixture& aTo) {
+    for (const auto& it : aFrom.mRouter.Rollouts().Evidence(aFrom.mNow)) {
+      aTo.mRouter.Rollouts().OnEvidence(it, aTo.mNow);
+    }
+  };
+  int flips = 0;
+  std::map<std::string, std::string> versions;
+  for (int second = 0; second < 12; ++second) {
+    busy.mNow += seconds(1);
+    added.mNow += seconds(1);
+    for (int subject = 0; subject < 60; ++subject) {
+      const auto name = "s" + std::to_string(subject);
+      auto& fleet = second >= 8 && subject % 2 == 0 ? added : busy;
+      auto plan = fleet.Admit("/chat/1", name);
+      const auto version = fleet.Run(plan).mVersion;
+      flips += versions.count(name) > 0 && versions[name] != version ? 1 : 0;
+      versions[name] = version;
+    }
+    tell(busy, added);
+    tell(added, busy);
+  }
+  CHECK(flips == 0);
+}
+
+TEST_CASE("rollout: another instance's evidence stops a version, and its age counts")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("old", 3);
+  fleet.AddEndpoints("new", 3, "v2");
+  fleet.Order("v2", kPeriod);
+  RolloutEvidence evidence;
+  evidence.mService = ServiceName("svc");
+  evidence.mTarget = "v2";
+  evidence.mInstance = IncarnationId("other~1");
+  evidence.mOlder = { 200, 0, 0 };
+  evidence.mNewer = { 30, 12, 0 };
+  evidence.mAge = milliseconds(5000);
+  CHECK(fleet.mRouter.Rollouts().OnEvidence(evidence, fleet.mNow));
+  CHECK(Step(fleet) == RolloutStep::RollBack);
+  CHECK(fleet.mRouter.Rollouts().Evidence(fleet.mNow).front().mAge >= milliseconds(5000));
+}
+
+TEST_CASE("rollout: what was rolled back gets nothing, what was completed gets all")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("old", 2);
+  fleet.AddEndpoints("new", 2, "v2");
+  fleet.Order("v2", kPeriod, RolloutState::RolledBack);
+  Traffic back;
+  back.Play(fleet, seconds(1), [](int) { return false; });
+  CHECK(back.mNewer == 0);
+  fleet.Order("v2", kPeriod, RolloutState::Completed);
+  Traffic on;
+  on.Play(fleet, seconds(1), [](int) { return false; });
+  CHECK(on.mOlder == 0);
+}
