Model size follows pressure, rank and prompt length; patience follows pressure

Ruled out: slots (running stayed below 64; memory and reading time bind first, so a waiting request counts threefold). Tests: FleetRouterTests, CallerTests.

--- a/modules/skylarkchute_relay/requests/RelayContext.h
+++ b/modules/skylarkchute_relay/requests/RelayContext.h
@@ -15,7 +15,8 @@
   EndpointPool& mPool;
   const EventLog& mLog;
   MetricsRegistry& mMetrics;
-  const bool& mIsLeaving; /**< Set once the process was told to stop. */
+  const bool& mIsLeaving;  /**< Set once the process was told to stop. */
+  const bool& mRefusesNew; /**< Set once a new request might outlast the process. */
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -16,9 +16,8 @@
 constexpr unsigned kFirstOtherThanSuccess = 300;
 constexpr unsigned kFirstServerFailure = 500;
 
-/** A stream without an event for this multiple of the longest timely pause goes on elsewhere. */
-constexpr int kGapFactor = 2;
-constexpr milliseconds kLeastGap{ 1500 };
+/** A caller refused by a process that stops reaches another one at once. */
+constexpr milliseconds kReturnElsewhere{ 20 };
 
 /** The endpoint is told a little less time than is left, so that its own timeout comes first. */
 constexpr milliseconds kDeadlineMargin{ 5 };
@@ -56,6 +55,10 @@
     AnswerOwn(kBadRequest, "the request has no id, host or path", milliseconds(0));
     return;
   }
+  if (mContext.mRefusesNew) {
+    Refuse({ RefusalReason::Leaving, kReturnElsewhere });
+    return;
+  }
   request->mFingerprint = StableHash(*mBody, StableHash(request->mKey, StableHash(mHead.mTarget)));
   auto admitted = mContext.mRouter.Admit(*request, Now());
   if (const auto* refusal = std::get_if<RelayRefusal>(&admitted)) {
@@ -103,7 +106,7 @@
   const auto lastEvent = mLastEvent ? std::to_string(*mLastEvent) : std::string();
   auto head = EncodeEndpointHead(mHead, *mPlan, *mAttempt, left, lastEvent, mBody->size());
   mConnection = mContext.mPool.Take(*mAttempt, !mPlan->mRoute->IsRepeatable());
-  if (const auto patience = mContext.mRouter.Patience(*mPlan, *mAttempt)) {
+  if (const auto patience = mContext.mRouter.Patience(*mPlan, *mAttempt, now)) {
     ArmAttemptTimer(*patience);
   }
   mConnection->Send(*address, std::move(head), mBody, shared_from_this());
@@ -222,7 +225,7 @@
     answer->SendChunk(bytes);
   }
   if (isWhole && mPlan->mRoute->mResumable) {
-    ArmAttemptTimer(std::max(kLeastGap, mPlan->mRoute->mLargestGap * kGapFactor));
+    ArmAttemptTimer(mContext.mRouter.PausePatience(*mPlan, Now()));
   }
   return isWhole;
 }
@@ -356,18 +359,20 @@
 {
   const auto* row = mContext.mRouter.Endpoints().Find(mAttempt->mEndpoint);
   const auto load = mEndpointHead.mLoad.value_or(ReportedLoad{});
-  mContext.mLog.Write({ &kAnswerBegun,
-                        { { "request", mId },
-                          { "route", mPlan->mRoute->mName },
-                          { "endpoint", mAttempt->mEndpoint.Value() },
-                          { "version", mAttempt->mVersion },
-                          { "size", mAttempt->mSize ? std::to_string(*mAttempt->mSize) : "" },
-                          { "latency_ms", std::to_string(aLatency.count() / 1000) },
-                          { "outstanding", std::to_string(row == nullptr ? 0 : row->mOutstanding) },
-                          { "running", std::to_string(load.mRunning) },
-                          { "waiting", std::to_string(load.mWaiting) },
-                          { "prompt_tokens", std::to_string(mPlan->mPromptTokens) },
-                          { "confidence", WriteNumber(mEndpointHead.mConfidence.value_or(0)) } } });
+  mContext.mLog.Write(
+    { &kAnswerBegun,
+      { { "request", mId },
+        { "route", mPlan->mRoute->mName },
+        { "endpoint", mAttempt->mEndpoint.Value() },
+        { "version", mAttempt->mVersion },
+        { "size", mAttempt->mSize ? std::to_string(*mAttempt->mSize) : "" },
+        { "latency_ms", std::to_string(aLatency.count() / 1000) },
+        { "outstanding", std::to_string(row == nullptr ? 0 : row->mOutstanding) },
+        { "running", std::to_string(load.mRunning) },
+        { "waiting", std::to_string(load.mWaiting) },
+        { "prompt_tokens", std::to_string(mPlan->mPromptTokens) },
+        { "pressure", WriteNumber(mContext.mRouter.Endpoints().Pressure(mPlan->mService, Now())) },
+        { "confidence", WriteNumber(mEndpointHead.mConfidence.value_or(0)) } } });
 }
 
 /** Makes the next attempt after one that brought no answer, if there is one to make. */
@@ -376,7 +381,7 @@
   if (mIsFinished) {
     return;
   }
-  StartAttempt(!mHasBegun && mPlan->mRuns > 0);
+  StartAttempt(false);
 }
 
 void RelayedRequest::GiveUp(const RelayRefusal& aRefusal)
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds kPauseBound{ 1200 };
 
 /** After the order to stop callers may still be sent here until the balancer has noticed. */
-constexpr milliseconds kNoticePeriod{ 3000 };
+constexpr milliseconds kNoticePeriod{ 2600 };
 constexpr milliseconds kStopCheck{ 50 };
 
 /** Part of the grace period after which connections under way are given up. */
@@ -67,7 +67,7 @@
       [this](ObjectKind aKind, const StoreObject& aObject) { mSync.OnObject(aKind, aObject); })
   , mMesh(mLoop, *this, mSelf, mSettings.mSeeds, mRandom())
   , mWriter(mLoop, mSettings.mStoreAddress)
-  , mContext{ mLoop, mRouter, mPool, mLog, mMetrics, mIsLeaving }
+  , mContext{ mLoop, mRouter, mPool, mLog, mMetrics, mIsLeaving, mRefusesNew }
   , mCallers(mContext)
   , mReady(mLoop, [this](const ControlRequest& aRequest) { return AnswerReady(aRequest); })
   , mPeers(mLoop, [this](const ControlRequest& aRequest) { return AnswerPeer(aRequest); })
@@ -186,6 +186,7 @@
     now - mStopAt >= std::min<milliseconds>(kNoticePeriod, mSettings.mGrace / 2);
   const bool isOverdue = now - mStopAt >= mSettings.mGrace * kUsedGrace;
   if (hasNotice) {
+    mRefusesNew = true;
     mCallers.StopAccepting();
     mCallers.CloseIdle();
   }
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -79,6 +79,7 @@
   StoreWriter mWriter;
   std::vector<std::shared_ptr<StoreWatcher>> mWatchers;
   bool mIsLeaving = false;
+  bool mRefusesNew = false;
   RelayContext mContext;
   CallerServer mCallers;
   ControlServer mReady;
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -1,6 +1,5 @@
 #include "FleetRouter.h"
 
-#include "ModelSizePolicy.h"
 #include "PlacementPolicy.h"
 
 #include <algorithm>
@@ -26,6 +25,14 @@
 constexpr milliseconds kShortPatience{ 250 };
 constexpr milliseconds kEnginePatience{ 1500 };
 
+/** A stream without an event for this multiple of the longest timely pause goes on elsewhere. */
+constexpr int kPauseFactor = 2;
+constexpr milliseconds kLeastPause{ 1500 };
+
+/** From this pressure on endpoints count as full; callers wait about 8 s for an event. */
+constexpr double kFullPressure = 0.5;
+constexpr milliseconds kFullPatience{ 5000 };
+
 /** Expected first byte of a large model before any was seen. */
 constexpr milliseconds kUnknownLatency{ 300 };
 
@@ -37,9 +44,13 @@
   return std::chrono::duration_cast<milliseconds>(aThen - aNow);
 }
 
-std::string LatencyKind(const RelayRoute& aRoute, const std::optional<std::size_t>& aSize)
+LatencyKind KindOf(const RequestPlan& aPlan, const std::optional<std::size_t>& aSize)
 {
-  return aSize ? aRoute.mName + '/' + std::to_string(*aSize) : aRoute.mName;
+  if (aSize) {
+    return { aPlan.mService.Value() + '/' + aPlan.mRoute->mSizes[*aSize].Value(),
+             aPlan.mPromptTokens };
+  }
+  return { aPlan.mRoute->mName, aPlan.mPromptTokens };
 }
 
 } // namespace
@@ -96,6 +107,7 @@
   plan.mOutputTokens = aRequest.mOutputTokens;
   plan.mPriority =
     plan.mTeam != nullptr && plan.mTeam->mPriority ? *plan.mTeam->mPriority : route.mPriority;
+  plan.mRank = mConfig->RankOf(plan.mService, route.mPriority);
   plan.mArrival = aNow;
   plan.mEnd = aNow + std::min(route.mTimeout, aRequest.mDeadline.value_or(route.mTimeout));
   plan.mTarget = aNow + route.mTargetLatency;
@@ -118,10 +130,24 @@
   return { aReason, std::max(milliseconds(0), std::min(wanted, third)) };
 }
 
+SizeQuestion FleetRouter::AskSize(const RequestPlan& aPlan,
+                                  std::uint32_t aRuns,
+                                  TimePoint aNow) const
+{
+  const auto& route = *aPlan.mRoute;
+  const auto largest = route.mSizes.size() - 1;
+  return { route.mSizes.size(),
+           route.mMaxAttempts - std::min(route.mMaxAttempts, aRuns),
+           Until(aPlan.mTarget, aNow),
+           mLatencies.Mean(KindOf(aPlan, largest), kUnknownLatency),
+           aPlan.mIsContinuation,
+           aPlan.mRank,
+           mEndpoints.Pressure(aPlan.mService, aNow) };
+}
+
 AttemptPlan FleetRouter::PlanFor(const RequestPlan& aPlan,
                                  const FleetRow& aRow,
-                                 bool aAsksLarger,
-                                 TimePoint aNow)
+                                 TimePoint aNow) const
 {
   const auto& route = *aPlan.mRoute;
   AttemptPlan attempt;
@@ -131,17 +157,13 @@
   attempt.mVersion = aRow.mEntry.mVersion;
   attempt.mPriority = std::min(aPlan.mPriority, kLeastUrgent);
   if (aPlan.mChoosesSize) {
-    const auto largest = route.mSizes.size() - 1;
-    const auto runsLeft = route.mMaxAttempts - std::min(route.mMaxAttempts, aPlan.mRuns);
-    const SizeQuestion question{ route.mSizes.size(),
-                                 runsLeft,
-                                 Until(aPlan.mTarget, aNow),
-                                 mLatencies.Mean(LatencyKind(route, largest), kUnknownLatency),
-                                 aPlan.mIsContinuation };
-    attempt.mSize = aAsksLarger ? largest : aPlan.mSize.value_or(ModelSizePolicy::First(question));
+    const auto first = aPlan.mWantsLargest
+                         ? route.mSizes.size() - 1
+                         : ModelSizePolicy::First(AskSize(aPlan, aPlan.mRuns, aNow));
+    attempt.mSize = aPlan.mSize.value_or(first);
     attempt.mModel = route.mSizes[*attempt.mSize];
   }
-  attempt.mLatencyKind = LatencyKind(route, attempt.mSize);
+  attempt.mLatencyKind = KindOf(aPlan, attempt.mSize);
   return attempt;
 }
 
@@ -174,7 +196,8 @@
     return Refuse(aPlan, RefusalReason::BudgetSpent, aNow);
   }
   ++row->mOutstanding;
-  return PlanFor(aPlan, *row, aAsksLarger, aNow);
+  aPlan.mWantsLargest = aPlan.mWantsLargest || aAsksLarger;
+  return PlanFor(aPlan, *row, aNow);
 }
 
 void FleetRouter::OnSent(RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow)
@@ -273,32 +296,40 @@
   if (!aAttempt.mSize || !aPlan.mChoosesSize || !route.IsRepeatable()) {
     return false;
   }
-  const auto used = aPlan.mRuns + 1;
-  const auto largest = route.mSizes.size() - 1;
-  const SizeQuestion question{ route.mSizes.size(),
-                               route.mMaxAttempts - std::min(route.mMaxAttempts, used),
-                               Until(aPlan.mTarget, aNow),
-                               mLatencies.Mean(LatencyKind(route, largest), kUnknownLatency),
-                               aPlan.mIsContinuation };
+  const auto question = AskSize(aPlan, aPlan.mRuns + 1, aNow);
   return ModelSizePolicy::AsksLarger(question, *aAttempt.mSize, aConfidence);
 }
 
 std::optional<milliseconds> FleetRouter::Patience(const RequestPlan& aPlan,
-                                                  const AttemptPlan& aAttempt) const
+                                                  const AttemptPlan& aAttempt,
+                                                  TimePoint aNow) const
 {
   const auto& route = *aPlan.mRoute;
   if (!route.IsRepeatable() || aPlan.mRuns + 1 >= route.mMaxAttempts) {
     return std::nullopt;
   }
+  // Where all endpoints are full, another one answers no sooner and the work is done twice.
+  if (aAttempt.mSize && mEndpoints.Pressure(aPlan.mService, aNow) >= kFullPressure) {
+    return kFullPatience;
+  }
   const auto usual = mLatencies.Mean(aAttempt.mLatencyKind, milliseconds(0)) * kPatienceFactor;
   const auto least = aAttempt.mSize ? kEnginePatience : kShortPatience;
   return std::max(least, std::chrono::duration_cast<milliseconds>(usual));
 }
 
+milliseconds FleetRouter::PausePatience(const RequestPlan& aPlan, TimePoint aNow) const
+{
+  if (mEndpoints.Pressure(aPlan.mService, aNow) >= kFullPressure) {
+    return kFullPatience;
+  }
+  return std::max(kLeastPause, aPlan.mRoute->mLargestGap * kPauseFactor);
+}
+
 void FleetRouter::SetInstances(std::size_t aInstances)
 {
   mInstances = std::max<std::size_t>(aInstances, 1);
   mRollouts.SetInstances(mInstances);
+  mEndpoints.SetInstances(mInstances);
 }
 
 std::vector<EndpointId> FleetRouter::Tick(TimePoint aNow)
--- a/modules/skylarkchute_routing/fleet/FleetRouter.h
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.h
@@ -3,6 +3,7 @@
 #include "CrashSuspects.h"
 #include "FleetTable.h"
 #include "LatencyBaseline.h"
+#include "ModelSizePolicy.h"
 #include "RelayRequest.h"
 #include "RetryWindow.h"
 #include "RolloutBook.h"
@@ -67,7 +68,11 @@
   /** Returns how long an attempt may take to its first byte before another one is made, or nothing
       when it has all the time that is left. */
   std::optional<std::chrono::milliseconds> Patience(const RequestPlan& aPlan,
-                                                    const AttemptPlan& aAttempt) const;
+                                                    const AttemptPlan& aAttempt,
+                                                    TimePoint aNow) const;
+
+  /** Returns how long a stream may pause before it goes on at another endpoint. */
+  std::chrono::milliseconds PausePatience(const RequestPlan& aPlan, TimePoint aNow) const;
 
   /** Sets the number of live instances, this one included. */
   void SetInstances(std::size_t aInstances);
@@ -83,11 +88,9 @@
 private:
   ServiceName ChooseService(const RelayRoute& aRoute);
   double FailureRateOf(const ServiceName& aService) const;
+  SizeQuestion AskSize(const RequestPlan& aPlan, std::uint32_t aRuns, TimePoint aNow) const;
   RelayRefusal Refuse(const RequestPlan& aPlan, RefusalReason aReason, TimePoint aNow) const;
-  AttemptPlan PlanFor(const RequestPlan& aPlan,
-                      const FleetRow& aRow,
-                      bool aAsksLarger,
-                      TimePoint aNow);
+  AttemptPlan PlanFor(const RequestPlan& aPlan, const FleetRow& aRow, TimePoint aNow) const;
 
   ZoneName mZone;
   FleetBounds mBounds;
--- a/modules/skylarkchute_routing/fleet/FleetTable.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetTable.cpp
@@ -9,15 +9,23 @@
 /** A report says little about an endpoint after this time; own attempts count alone. */
 constexpr std::chrono::milliseconds kReportLifetime{ 1500 };
 
+/** Running requests that one waiting request counts for in the pressure. */
+constexpr double kWaitingWeight = 3;
+
 } // namespace
 
+bool FleetRow::HasFreshReport(TimePoint aNow) const
+{
+  return mReportedAt != TimePoint{} && aNow - mReportedAt < kReportLifetime;
+}
+
 double FleetRow::EstimatedLoad(TimePoint aNow) const
 {
   const double own = mOutstanding;
-  const auto age = aNow - mReportedAt;
-  if (mReportedAt == TimePoint{} || age >= kReportLifetime) {
+  if (!HasFreshReport(aNow)) {
     return own;
   }
+  const auto age = aNow - mReportedAt;
   const double reported = mReport.mRunning + mReport.mWaiting;
   const double others = std::max(0.0, reported - mOutstandingAtReport);
   const double trust = 1 - std::chrono::duration<double>(age) / kReportLifetime;
@@ -82,4 +90,19 @@
   return rows;
 }
 
+double FleetTable::Pressure(const ServiceName& aService, TimePoint aNow) const
+{
+  double held = 0;
+  double slots = 0;
+  for (const auto& [id, row] : mRows) {
+    if (row.mEntry.mService == aService && row.IsOpen()) {
+      held += row.HasFreshReport(aNow)
+                ? row.mReport.mRunning + kWaitingWeight * row.mReport.mWaiting
+                : static_cast<double>(row.mOutstanding * mInstances);
+      slots += row.mEntry.mSlots;
+    }
+  }
+  return slots == 0 ? 0 : held / slots;
+}
+
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/fleet/FleetTable.h
+++ b/modules/skylarkchute_routing/fleet/FleetTable.h
@@ -32,6 +32,9 @@
   /** Returns the requests that the endpoint holds, from the last report and own attempts since. */
   double EstimatedLoad(TimePoint aNow) const;
 
+  /** Returns whether the last report still says something. */
+  bool HasFreshReport(TimePoint aNow) const;
+
   /** Returns whether new requests may be sent. */
   bool IsOpen() const { return !mEntry.mDraining; }
 };
@@ -63,12 +66,21 @@
   /** Returns the rows of a service that may get new requests. */
   std::vector<FleetRow*> OpenRows(const ServiceName& aService);
 
+  /** Returns how full the open endpoints of a service are: requests held for each slot. A waiting
+      request counts several times, since engines run out of memory and reading time before slots.
+   */
+  double Pressure(const ServiceName& aService, TimePoint aNow) const;
+
+  /** Sets the number of instances, which stand for the own load where no report is known. */
+  void SetInstances(std::size_t aInstances) { mInstances = aInstances; }
+
   /** Returns every row by id. */
   const std::map<EndpointId, FleetRow>& All() const { return mRows; }
   std::map<EndpointId, FleetRow>& All() { return mRows; }
 
 private:
   std::map<EndpointId, FleetRow> mRows;
+  std::size_t mInstances = 1;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/fleet/LatencyBaseline.cpp
+++ b/modules/skylarkchute_routing/fleet/LatencyBaseline.cpp
@@ -1,47 +1,73 @@
 #include "LatencyBaseline.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace skylarkchute {
 
 namespace {
 
-constexpr double kWeight = 0.05;      /**< Of one latency in the moving mean. */
+constexpr double kWeight = 0.1;       /**< Of one latency in the moving mean. */
 constexpr double kLeastMeanMs = 10;   /**< Differences below this say nothing of an endpoint. */
 constexpr double kMostRelative = 3.0; /**< Of one latency, so that outliers don't move the mean. */
-constexpr std::size_t kMostKinds = 4096;
+constexpr double kMostScale = 64;     /**< Of a mean scaled from shorter prompts. */
+constexpr std::size_t kMostKinds = 1024;
+
+std::size_t LengthOf(const LatencyKind& aKind, std::size_t aLengths)
+{
+  return std::min<std::size_t>(std::bit_width(aKind.mPromptTokens), aLengths - 1);
+}
 
 } // namespace
 
-double LatencyBaseline::Relative(const std::string& aKind, std::chrono::microseconds aLatency) const
+double LatencyBaseline::Relative(const LatencyKind& aKind, std::chrono::microseconds aLatency) const
 {
-  const auto found = mMeanMs.find(aKind);
-  if (found == mMeanMs.end()) {
+  const auto found = mMeans.find(aKind.mName);
+  const double mean = found == mMeans.end() ? 0 : found->second[LengthOf(aKind, kLengths)];
+  if (mean <= 0) {
     return 1;
   }
   const double latencyMs = std::chrono::duration<double, std::milli>(aLatency).count();
-  return latencyMs / std::max(found->second, kLeastMeanMs);
+  return latencyMs / std::max(mean, kLeastMeanMs);
 }
 
-void LatencyBaseline::Record(const std::string& aKind, std::chrono::microseconds aLatency)
+void LatencyBaseline::Record(const LatencyKind& aKind, std::chrono::microseconds aLatency)
 {
-  const double latencyMs = std::chrono::duration<double, std::milli>(aLatency).count();
-  if (mMeanMs.size() >= kMostKinds && mMeanMs.find(aKind) == mMeanMs.end()) {
-    mMeanMs.clear();
+  if (mMeans.size() >= kMostKinds && mMeans.find(aKind.mName) == mMeans.end()) {
+    mMeans.clear();
   }
-  const auto [it, isNew] = mMeanMs.emplace(aKind, latencyMs);
-  if (!isNew) {
-    const double most = kMostRelative * std::max(it->second, kLeastMeanMs);
-    it->second += kWeight * (std::min(latencyMs, most) - it->second);
+  const double latencyMs = std::chrono::duration<double, std::milli>(aLatency).count();
+  auto& mean = mMeans[aKind.mName][LengthOf(aKind, kLengths)];
+  if (mean <= 0) {
+    mean = latencyMs;
+    return;
   }
+  const double most = kMostRelative * std::max(mean, kLeastMeanMs);
+  mean += kWeight * (std::min(latencyMs, most) - mean);
 }
 
-std::chrono::milliseconds LatencyBaseline::Mean(const std::string& aKind,
+std::chrono::milliseconds LatencyBaseline::Mean(const LatencyKind& aKind,
                                                 std::chrono::milliseconds aFallback) const
 {
-  const auto found = mMeanMs.find(aKind);
-  return found == mMeanMs.end() ? aFallback
-                                : std::chrono::milliseconds(static_cast<int>(found->second));
+  const auto found = mMeans.find(aKind.mName);
+  if (found == mMeans.end()) {
+    return aFallback;
+  }
+  const auto& means = found->second;
+  const auto length = LengthOf(aKind, kLengths);
+  double scale = 1;
+  for (std::size_t n = length + 1; n-- > 0;) {
+    if (means[n] > 0) {
+      return std::chrono::milliseconds(
+        static_cast<std::int64_t>(means[n] * std::min(scale, kMostScale)));
+    }
+    scale *= 2;
+  }
+  const auto longer = std::find_if(means.begin() + static_cast<std::ptrdiff_t>(length),
+                                   means.end(),
+                                   [](double aMean) { return aMean > 0; });
+  return longer == means.end() ? aFallback
+                               : std::chrono::milliseconds(static_cast<std::int64_t>(*longer));
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/fleet/ModelSizePolicy.cpp
+++ b/modules/skylarkchute_routing/fleet/ModelSizePolicy.cpp
@@ -1,22 +1,54 @@
 #include "ModelSizePolicy.h"
 
+#include <algorithm>
+#include <array>
+
 namespace skylarkchute {
 
 namespace {
 
-/** An answer below this confidence is asked again of the largest model. */
-constexpr double kSureConfidence = 60;
+/** A small model's answer is over before the larger one's begins within this multiple of the
+   latter's expected time. */
+constexpr double kCascadeFactor = 1.3;
+
+/** How sure an answer has to be, and the pressures between which this falls to nothing. */
+struct RankLimits
+{
+  double mSureConfidence;
+  double mFallsFrom;
+  double mFallsTo;
+};
+
+/** By rank of the request; less urgent ones are also worth less against the price of a model. */
+constexpr std::array<RankLimits, 3> kRanks{ {
+  { 70, 0.6, 1.2 },
+  { 60, 0.35, 0.8 },
+  { 45, 0.25, 0.6 },
+} };
 
 } // namespace
 
+double ModelSizePolicy::SureConfidence(const SizeQuestion& aQuestion)
+{
+  const auto& limits = kRanks[std::min(aQuestion.mRank, kRanks.size() - 1)];
+  const double part =
+    (limits.mFallsTo - aQuestion.mPressure) / (limits.mFallsTo - limits.mFallsFrom);
+  return limits.mSureConfidence * std::clamp(part, 0.0, 1.0);
+}
+
 std::size_t ModelSizePolicy::First(const SizeQuestion& aQuestion)
 {
-  const bool hasCascade = aQuestion.mSizes > 1 && aQuestion.mAttemptsLeft > 1;
-  const bool hasTime = aQuestion.mToTarget > 2 * aQuestion.mExpected;
-  if (!aQuestion.mIsContinuation && hasCascade && hasTime) {
+  const auto largest = aQuestion.mSizes - 1;
+  if (SureConfidence(aQuestion) <= 0) {
     return 0;
   }
-  return aQuestion.mSizes - 1;
+  if (aQuestion.mIsContinuation) {
+    return largest;
+  }
+  const bool hasCascade = aQuestion.mSizes > 1 && aQuestion.mAttemptsLeft > 1;
+  const bool hasTimeForOne = aQuestion.mToTarget > aQuestion.mExpected;
+  const bool hasTimeForBoth = aQuestion.mToTarget > kCascadeFactor * aQuestion.mExpected;
+  return hasTimeForOne && !(hasCascade && hasTimeForBoth) ? largest : 0;
 }
 
 bool ModelSizePolicy::AsksLarger(const SizeQuestion& aQuestion,
@@ -26,7 +58,7 @@
   if (aSize + 1 >= aQuestion.mSizes || aQuestion.mAttemptsLeft == 0) {
     return false;
   }
-  return aConfidence < kSureConfidence && aQuestion.mToTarget > aQuestion.mExpected;
+  return aConfidence < SureConfidence(aQuestion) && aQuestion.mToTarget > aQuestion.mExpected;
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/fleet/RelayConfig.cpp
+++ b/modules/skylarkchute_routing/fleet/RelayConfig.cpp
@@ -22,6 +22,9 @@
 {
   for (const auto& it : mConfig.mRoutes) {
     mRoutesByHost[NormalHost(it.mHost)].push_back(&it);
+    for (const auto& target : it.mTargets) {
+      mPriorities[target.mService.Value()].insert(it.mPriority);
+    }
   }
   for (auto& [host, routes] : mRoutesByHost) {
     std::stable_sort(routes.begin(), routes.end(), [](const auto* aLeft, const auto* aRight) {
@@ -57,6 +60,17 @@
   return found == mTeamsByKey.end() ? nullptr : found->second;
 }
 
+std::size_t ConfigIndex::RankOf(const ServiceName& aService, std::uint32_t aPriority) const
+{
+  const auto found = mPriorities.find(aService.Value());
+  if (found == mPriorities.end()) {
+    return 0;
+  }
+  const auto& priorities = found->second;
+  return static_cast<std::size_t>(
+    std::distance(priorities.begin(), priorities.lower_bound(aPriority)));
+}
+
 const RelayService* ConfigIndex::FindService(const ServiceName& aService) const
 {
   const auto found = mServices.find(aService.Value());
--- a/modules/skylarkchute_routing/fleet/RelayConfig.h
+++ b/modules/skylarkchute_routing/fleet/RelayConfig.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -115,6 +116,9 @@
   /** Returns a service, or null. */
   const RelayService* FindService(const ServiceName& aService) const;
 
+  /** Returns how many priorities among the routes of a service are more urgent. */
+  std::size_t RankOf(const ServiceName& aService, std::uint32_t aPriority) const;
+
   /** Returns whether requests need a key unless their route is public. */
   bool HasTeams() const { return !mConfig.mTeams.empty(); }
 
@@ -125,6 +129,7 @@
   std::unordered_map<std::string, std::vector<const RelayRoute*>> mRoutesByHost;
   std::unordered_map<std::string, const RelayTeam*> mTeamsByKey;
   std::unordered_map<std::string, const RelayService*> mServices;
+  std::unordered_map<std::string, std::set<std::uint32_t>> mPriorities; /**< By service. */
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/fleet/RelayRequest.h
+++ b/modules/skylarkchute_routing/fleet/RelayRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LatencyBaseline.h"
 #include "RelayConfig.h"
 
 #include <chrono>
@@ -62,12 +63,14 @@
   std::uint64_t mPromptTokens = 0;
   std::uint64_t mOutputTokens = 0; /**< Most that may be generated. */
   std::uint32_t mPriority = 0;
+  std::size_t mRank = 0; /**< Priorities of the service's routes that are more urgent. */
   TimePoint mArrival{};
   TimePoint mEnd{};    /**< Final answer is due: caller's deadline or the route's timeout. */
   TimePoint mTarget{}; /**< Full worth until then. */
   bool mIsContinuation = false;
   bool mChoosesSize = false;        /**< The instance names the model. */
   std::optional<std::size_t> mSize; /**< Model of the stream that the caller has a part of. */
+  bool mWantsLargest = false;       /**< A smaller model was unsure. */
   std::uint32_t mRuns = 0;          /**< Attempts that may have run. */
   std::uint32_t mSends = 0;         /**< Attempts that reached an endpoint. */
   std::vector<EndpointId> mTried;   /**< Endpoints that are of no more use to the request. */
@@ -83,7 +86,7 @@
   std::optional<std::size_t> mSize;
   ModelName mModel; /**< Empty when the caller's is passed on. */
   std::uint32_t mPriority = 0;
-  std::string mLatencyKind; /**< Requests whose latencies are compared. */
+  LatencyKind mLatencyKind;
 };
 
 /** How an attempt ended. */
--- a/tests/skylarkchute_relay/CallerTests.cpp
+++ b/tests/skylarkchute_relay/CallerTests.cpp
@@ -65,3 +65,23 @@
   REQUIRE(relay.RunUntil([&] { return answer->find("\r\n0\r\n\r\n") != std::string::npos; }));
   CHECK(relay.RunUntil([&] { return relay.mEnded.at(0); }));
 }
+
+TEST_CASE("a request that the process might not outlast is refused as not run")
+{
+  // A stream that was taken 3 s after SIGTERM was cut at the end of the grace period.
+  RelayFixture relay;
+  FakeEndpoint endpoint(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(aSocket, SealedAnswer(aRequest, 200, "late"));
+  });
+  relay.AddEndpoint("e1", endpoint.Address());
+  relay.mIsLeaving = true;
+  relay.mRefusesNew = true;
+  const auto caller = relay.Connect();
+  const auto answer = relay.Gather(caller);
+  relay.Send(caller, CallerRequest("POST", "/chat/1", "r1", "x"));
+  REQUIRE(relay.RunUntil([&] { return relay.mEnded.at(0); }));
+  CHECK(answer->find("HTTP/1.1 503") == 0);
+  CHECK(answer->find("Retry-After: 0.02") != std::string::npos);
+  CHECK(answer->find("Connection: close") != std::string::npos);
+  CHECK(endpoint.mRequests.empty());
+}
--- a/tests/skylarkchute_relay/RelayFixture.h
+++ b/tests/skylarkchute_relay/RelayFixture.h
@@ -62,7 +62,8 @@
   FleetRouter mRouter;
   EndpointPool mPool{ mLoop };
   bool mIsLeaving = false;
-  RelayContext mContext{ mLoop, mRouter, mPool, mLog, mMetrics, mIsLeaving };
+  bool mRefusesNew = false;
+  RelayContext mContext{ mLoop, mRouter, mPool, mLog, mMetrics, mIsLeaving, mRefusesNew };
   CallerServer mServer{ mContext };
   std::vector<bool> mEnded; /**< Of the connections gathered from, in order. */
 };
--- a/tests/skylarkchute_routing/FleetRouterTests.cpp
+++ b/tests/skylarkchute_routing/FleetRouterTests.cpp
@@ -138,6 +138,81 @@
   CHECK_FALSE(fleet.mRouter.AsksLarger(plan, small, 10, fleet.mNow));
 }
 
+TEST_CASE("fleet: full engines answer with small models, the least urgent requests first")
+{
+  // Two of nine engines left in a roll: the rest held 60 requests each, half of them waiting, and
+  // large models for all kept streams past their deadline.
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 4);
+  const auto fill = [&](std::uint32_t aRunning, std::uint32_t aWaiting) {
+    for (int i = 0; i < 4; ++i) {
+      fleet.mRouter.OnLoad(
+        EndpointId("e" + std::to_string(i)), { aRunning, aWaiting, 64 }, fleet.mNow);
+    }
+  };
+  const auto asks = [&](const std::string& aPath) {
+    auto plan = fleet.Admit(aPath, "s");
+    const auto attempt = fleet.Attempt(plan);
+    const bool larger = fleet.mRouter.AsksLarger(plan, attempt, 30, fleet.mNow);
+    fleet.mRouter.OnEnded(plan, attempt, RelayOutcome::Abandoned, fleet.mNow);
+    return larger;
+  };
+  fill(10, 0);
+  CHECK(asks("/chat/1"));
+  CHECK(asks("/note/1"));
+  fill(45, 5);
+  CHECK(asks("/chat/1"));
+  CHECK_FALSE(asks("/note/1"));
+  fill(64, 30);
+  CHECK_FALSE(asks("/chat/1"));
+}
+
+TEST_CASE("fleet: a prompt too long for the largest model's target is left to the smallest")
+{
+  // The longest prompts kept a large model reading for 3 s, past their own target, while the other
+  // requests of the engine waited.
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 2);
+  const auto run = [&](std::uint64_t aTokens, milliseconds aSmall, milliseconds aLarge) {
+    auto plan = fleet.Admit("/chat/1", "s");
+    plan.mPromptTokens = aTokens;
+    const auto small = fleet.Attempt(plan);
+    fleet.mRouter.OnFirstByte(plan, small, aSmall);
+    fleet.mRouter.OnEnded(plan, small, RelayOutcome::Answered, fleet.mNow);
+    const auto large = fleet.Attempt(plan, true);
+    fleet.mRouter.OnFirstByte(plan, large, aLarge);
+    fleet.mRouter.OnEnded(plan, large, RelayOutcome::Answered, fleet.mNow);
+  };
+  for (int i = 0; i < 20; ++i) {
+    run(1000, milliseconds(60), milliseconds(90));
+    run(12000, milliseconds(120), milliseconds(500));
+  }
+  const auto asks = [&](std::uint64_t aTokens) {
+    auto plan = fleet.Admit("/chat/1", "s");
+    plan.mPromptTokens = aTokens;
+    const auto attempt = fleet.Attempt(plan);
+    CHECK(attempt.mModel == ModelName("small"));
+    return fleet.mRouter.AsksLarger(plan, attempt, 10, fleet.mNow);
+  };
+  CHECK(asks(1000));
+  CHECK(asks(13000));
+  CHECK_FALSE(asks(70000));
+}
+
+TEST_CASE("fleet: where all engines are full a slow first token is waited for")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 2);
+  auto plan = fleet.Admit("/chat/1", "s");
+  const auto attempt = fleet.Attempt(plan);
+  CHECK(*fleet.mRouter.Patience(plan, attempt, fleet.mNow) < milliseconds(2000));
+  for (const auto* it : { "e0", "e1" }) {
+    fleet.mRouter.OnLoad(EndpointId(it), { 64, 20, 64 }, fleet.mNow);
+  }
+  CHECK(*fleet.mRouter.Patience(plan, attempt, fleet.mNow) >= milliseconds(4000));
+  CHECK(fleet.mRouter.PausePatience(plan, fleet.mNow) >= milliseconds(4000));
+}
+
 TEST_CASE("fleet: a request that was at two crashes is refused, others are not")
 {
   FleetFixture fleet;
