--- a/modules/skylarkchute_relay/store/StoreWatcher.cpp
+++ b/modules/skylarkchute_relay/store/StoreWatcher.cpp
@@ -17,6 +17,23 @@
 constexpr milliseconds kFirstPause{ 120 };
 constexpr std::uint32_t kMostDoublings = 3;
 
+/** Returns the pause before the next watch after a change. Each call is priced, and changes come in
+    series; the pause has to stay well below the time in which the kind's changes take effect. */
+milliseconds GatherTime(ObjectKind aKind)
+{
+  switch (aKind) {
+    case ObjectKind::Config:
+      return milliseconds(150);
+    case ObjectKind::Endpoints:
+      return milliseconds(200);
+    case ObjectKind::Rollouts:
+      return milliseconds(100);
+    case ObjectKind::Instances:
+      return milliseconds(1000);
+  }
+  return milliseconds(0);
+}
+
 constexpr unsigned kOk = 200;
 constexpr unsigned kHistoryGone = 410;
 
@@ -117,7 +134,16 @@
   mWatchFrom = std::max(mWatchFrom, page->mAsOf);
   mMirror.Apply(mKind, *page, std::chrono::steady_clock::now());
   mListener.OnStoreAnswer(mKind);
-  Watch();
+  if (page->mObjects.empty()) {
+    Watch();
+    return;
+  }
+  mPauseTimer.expires_after(GatherTime(mKind));
+  mPauseTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
+    if (!aError) {
+      self->Watch();
+    }
+  });
 }
 
 void StoreWatcher::Fail(const CallResult& aResult)
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -33,8 +33,10 @@
 constexpr double kFullPressure = 0.5;
 constexpr milliseconds kFullPatience{ 5000 };
 
-/** Expected first byte of a large model before any was seen. */
-constexpr milliseconds kUnknownLatency{ 300 };
+/** Expected first byte of a large model before any was seen, as after a restart of all instances:
+    an engine's usual time and its usual reading rate. */
+constexpr milliseconds kUnknownLatency{ 60 };
+constexpr std::uint64_t kUnknownTokensPerMs = 20;
 
 /** A relative latency above this counts as slow for a rollout. */
 constexpr double kSlowFactor = 3;
@@ -136,10 +138,11 @@
 {
   const auto& route = *aPlan.mRoute;
   const auto largest = route.mSizes.size() - 1;
+  const auto unknown = kUnknownLatency + milliseconds(aPlan.mPromptTokens / kUnknownTokensPerMs);
   return { route.mSizes.size(),
            route.mMaxAttempts - std::min(route.mMaxAttempts, aRuns),
            Until(aPlan.mTarget, aNow),
-           mLatencies.Mean(KindOf(aPlan, largest), kUnknownLatency),
+           mLatencies.Mean(KindOf(aPlan, largest), unknown),
            aPlan.mIsContinuation,
            aPlan.mRank,
            mEndpoints.Pressure(aPlan.mService, aNow) };
--- a/modules/skylarkchute_routing/fleet/ModelSizePolicy.cpp
+++ b/modules/skylarkchute_routing/fleet/ModelSizePolicy.cpp
@@ -21,9 +21,9 @@
 
 /** By rank of the request; less urgent ones are also worth less against the price of a model. */
 constexpr std::array<RankLimits, 3> kRanks{ {
-  { 70, 0.6, 1.2 },
-  { 60, 0.35, 0.8 },
-  { 45, 0.25, 0.6 },
+  { 65, 0.6, 1.2 },
+  { 50, 0.35, 0.8 },
+  { 40, 0.25, 0.6 },
 } };
 
 } // namespace
--- a/modules/skylarkchute_routing/fleet/RolloutBook.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutBook.cpp
@@ -9,12 +9,11 @@
 /** Parts of a rollout's period at which its share rises. Sessions may move after the first half;
     the rest leaves time for answers under way before the older endpoints stop. */
 constexpr double kFreeFrom = 0.51; /**< Subjects in use may move. */
-constexpr double kWiderFrom = 0.6;
-constexpr double kAllFrom = 0.67;
+constexpr double kWiderFrom = 0.55;
+constexpr double kAllFrom = 0.75;
 constexpr double kCompleteFrom = 0.88;
 
 constexpr double kTrialShare = 0.08;
-constexpr double kWiderShare = 0.3;
 
 /** Part of the exposure bound that one instance uses of its share; instances count requests that
     others may still be about to send. */
@@ -153,7 +152,9 @@
   }
   const double place = PlaceOf(aSubject, target);
   if (progress >= kWiderFrom && hasEvidence) {
-    return place < kWiderShare;
+    // Subjects move little by little, so that the newer endpoints read their prompts in turn.
+    const double part = (progress - kWiderFrom) / (kAllFrom - kWiderFrom);
+    return place < kTrialShare + (1 - kTrialShare) * part;
   }
   if (place >= kTrialShare || !MayExpose(aRollout, kTrialShare)) {
     return false;
--- a/tests/skylarkchute_routing/FleetRouterTests.cpp
+++ b/tests/skylarkchute_routing/FleetRouterTests.cpp
@@ -183,6 +183,13 @@
     fleet.mRouter.OnFirstByte(plan, large, aLarge);
     fleet.mRouter.OnEnded(plan, large, RelayOutcome::Answered, fleet.mNow);
   };
+  {
+    // Nothing is known of the engines after a restart.
+    auto plan = fleet.Admit("/chat/1", "s");
+    plan.mPromptTokens = 50000;
+    const auto attempt = fleet.Attempt(plan);
+    CHECK_FALSE(fleet.mRouter.AsksLarger(plan, attempt, 10, fleet.mNow));
+  }
   for (int i = 0; i < 20; ++i) {
     run(1000, milliseconds(60), milliseconds(90));
     run(12000, milliseconds(120), milliseconds(500));
