--- a/modules/skylarkchute_relay/store/StoreCall.cpp
+++ b/modules/skylarkchute_relay/store/StoreCall.cpp
@@ -29,8 +29,8 @@
   const auto address = ReadSocketAddress(mAddress);
   mTimer.expires_after(address ? aTimeout : std::chrono::milliseconds(0));
   mTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
-    if (!aError) {
-      self->mConnection.reset();
+    if (!aError && self->mDone) {
+      self->DropConnection();
       self->Finish(false);
     }
   });
@@ -61,6 +61,12 @@
   }
   mDone = nullptr;
   mTimer.cancel();
+  DropConnection();
+}
+
+/** Closes the connection: an answer that it might still bring belongs to no later call. */
+void StoreCall::DropConnection()
+{
   if (mConnection) {
     mConnection->Close();
     mConnection.reset();
--- a/modules/skylarkchute_relay/store/StoreCall.h
+++ b/modules/skylarkchute_relay/store/StoreCall.h
@@ -47,6 +47,7 @@
   void OnLost(ConnectionLoss aLoss) override;
 
 private:
+  void DropConnection();
   void Finish(bool aHasAnswer);
 
   boost::asio::io_context& mContext;
--- /dev/null
+++ b/tests/skylarkchute_relay/StoreCallTests.cpp
@@ -0,0 +1,40 @@
+#include "RelayFixture.h"
+
+#include <catch2/catch.hpp>
+#include <skylarkchute_relay/store/StoreCall.h>
+
+using namespace skylarkchute;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char* kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("an answer that comes after its call was given up reaches nobody")
+{
+  // An instance that was frozen answered its peers' calls of 3 s before when it woke; all crashed.
+  RelayFixture relay;
+  FakeEndpoint::Socket late;
+  FakeEndpoint server(relay.mLoop, [&](const std::string&, const FakeEndpoint::Socket& aSocket) {
+    if (!late) {
+      late = aSocket;
+      return;
+    }
+    WriteAll(aSocket, kAnswer);
+  });
+  const auto call = std::make_shared<StoreCall>(relay.mLoop, server.Address());
+  std::vector<bool> answers;
+  const auto note = [&](const CallResult& aResult) { answers.push_back(aResult.mHasAnswer); };
+  call->Start("GET", "/a", {}, milliseconds(60), note);
+  REQUIRE(relay.RunUntil([&] { return answers.size() == 1; }));
+  REQUIRE(late != nullptr);
+  WriteAll(late, kAnswer);
+  int turns = 0;
+  relay.RunUntil([&] { return ++turns > 5; });
+  CHECK(answers == std::vector<bool>{ false });
+  call->Start("GET", "/b", {}, milliseconds(2000), note);
+  REQUIRE(relay.RunUntil([&] { return answers.size() == 2; }));
+  CHECK(answers.back());
+}
