--- a/modules/skylarkchute_relay/callers/ControlServer.cpp
+++ b/modules/skylarkchute_relay/callers/ControlServer.cpp
@@ -124,8 +124,7 @@
 };
 
 ControlServer::ControlServer(asio::io_context& aContext, Handler aHandler)
-  : mContext(aContext)
-  , mHandler(std::make_shared<Handler>(std::move(aHandler)))
+  : mHandler(std::make_shared<Handler>(std::move(aHandler)))
   , mAcceptor(aContext)
 {
 }
--- a/modules/skylarkchute_relay/callers/ControlServer.h
+++ b/modules/skylarkchute_relay/callers/ControlServer.h
@@ -44,7 +44,6 @@
 
   void Accept();
 
-  boost::asio::io_context& mContext;
   std::shared_ptr<Handler> mHandler;
   boost::asio::ip::tcp::acceptor mAcceptor;
 };
--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -177,6 +177,8 @@
   if (mContext.mLog.Accepts(kAnswerBegun)) {
     LogFirstByte(latency);
   }
+  mContext.mMetrics.Record(
+    "skylarkchute_first_byte_seconds", "route=\"" + mPlan->mRoute->mName + "\"", latency);
   mContext.mRouter.OnFirstByte(*mPlan, *mAttempt, latency);
 }
 
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -36,8 +36,6 @@
 constexpr milliseconds kRegisterRetry{ 1000 };
 
 constexpr unsigned kOk = 200;
-constexpr unsigned kCreated = 201;
-constexpr unsigned kConflict = 409;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kNotFound = 404;
 
@@ -137,8 +135,15 @@
   return { kOk, "application/json", mMesh.Serve(aRequest.mBody) };
 }
 
-ControlAnswer RelayRuntime::AnswerMetrics(const ControlRequest& /*aRequest*/) const
+ControlAnswer RelayRuntime::AnswerMetrics(const ControlRequest& /*aRequest*/)
 {
+  if (const auto& config = mRouter.Config()) {
+    for (const auto& it : config->Config().mServices) {
+      mMetrics.Set("skylarkchute_pressure",
+                   "service=\"" + it.mName.Value() + "\"",
+                   mRouter.Endpoints().Pressure(it.mName, Now()));
+    }
+  }
   return { kOk, "text/plain", mMetrics.PrometheusText() };
 }
 
@@ -224,7 +229,11 @@
   mPool.CloseStale(now);
   if (mTicks % static_cast<std::uint64_t>(PeerMesh::kInterval / kTick) == 0) {
     mMesh.Tick(now);
-    mRouter.SetInstances(mMesh.Live(now).size() + 1);
+    const auto instances = mMesh.Live(now).size() + 1;
+    mRouter.SetInstances(instances);
+    for (const auto& it : mWatchers) {
+      it->SetInstances(instances);
+    }
   }
   NoteReady();
   Register();
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -48,7 +48,7 @@
   bool IsReady() const;
   ControlAnswer AnswerReady(const ControlRequest& aRequest) const;
   ControlAnswer AnswerPeer(const ControlRequest& aRequest);
-  ControlAnswer AnswerMetrics(const ControlRequest& aRequest) const;
+  ControlAnswer AnswerMetrics(const ControlRequest& aRequest);
 
   void WaitForSignal();
   void Reload();
--- a/modules/skylarkchute_relay/runtime/RelaySettings.cpp
+++ b/modules/skylarkchute_relay/runtime/RelaySettings.cpp
@@ -58,7 +58,7 @@
 
 std::string ReadAddress(SectionReader& aReader, const std::string& aKey, bool aRequired)
 {
-  const auto text = aReader.ReadText(aKey, "");
+  auto text = aReader.ReadText(aKey, "");
   if (text.empty() && !aRequired) {
     return text;
   }
--- a/modules/skylarkchute_relay/store/StoreWatcher.cpp
+++ b/modules/skylarkchute_relay/store/StoreWatcher.cpp
@@ -8,8 +8,9 @@
 
 using std::chrono::milliseconds;
 
-/** A watch returns after this time without a change; bounds how long a dead one goes unnoticed. */
-constexpr milliseconds kWatchWait{ 10000 };
+/** A watch returns after this time without a change. A connection that fell silent is found sooner,
+   by its probes. */
+constexpr milliseconds kWatchWait{ 25000 };
 constexpr milliseconds kWatchMargin{ 1500 };
 constexpr milliseconds kListTimeout{ 2500 };
 
@@ -17,6 +18,11 @@
 constexpr milliseconds kFirstPause{ 120 };
 constexpr std::uint32_t kMostDoublings = 3;
 
+/** Fleets of this size and smaller pause for the shortest time; larger ones in proportion, since a
+    change wakes every instance, up to the factor. */
+constexpr std::size_t kSmallFleet = 12;
+constexpr double kMostFactor = 4;
+
 /** Returns the pause before the next watch after a change. Each call is priced, and changes come in
     series; the pause has to stay well below the time in which the kind's changes take effect. */
 milliseconds GatherTime(ObjectKind aKind)
@@ -138,7 +144,8 @@
     Watch();
     return;
   }
-  mPauseTimer.expires_after(GatherTime(mKind));
+  const double factor = std::clamp(static_cast<double>(mInstances) / kSmallFleet, 1.0, kMostFactor);
+  mPauseTimer.expires_after(std::chrono::duration_cast<milliseconds>(GatherTime(mKind) * factor));
   mPauseTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
     if (!aError) {
       self->Watch();
--- a/modules/skylarkchute_relay/store/StoreWatcher.h
+++ b/modules/skylarkchute_relay/store/StoreWatcher.h
@@ -30,6 +30,9 @@
   /** Begins with a list, also when a call is under way. */
   void Restart();
 
+  /** Sets the number of live instances that watch the store. */
+  void SetInstances(std::size_t aInstances) { mInstances = aInstances; }
+
   /** Ends all calls. */
   void Stop();
 
@@ -49,6 +52,7 @@
   KindSnapshot mListing;
   std::uint64_t mWatchFrom = 0; /**< Revision up to which the store itself told this kind. */
   std::uint32_t mFailures = 0;  /**< In a row. */
+  std::size_t mInstances = 1;
   bool mIsStopped = false;
 };
 
--- a/modules/skylarkchute_routing/fleet/RolloutBook.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutBook.cpp
@@ -27,6 +27,12 @@
 /** News of a subject take about this long to reach the other instances. */
 constexpr std::chrono::milliseconds kNewsDelay{ 1000 };
 
+/** Counts and uses older than this have reached the other instances; and most instances of which
+   one message tells. */
+constexpr std::chrono::milliseconds kToldFor{ 4000 };
+constexpr std::chrono::milliseconds kUseToldFor{ 2500 };
+constexpr std::size_t kMostTold = 15;
+
 std::uint64_t SubjectOf(const ServiceName& aService, const std::string& aKey)
 {
   return StableHash(aKey, StableHash(aService.Value()));
@@ -67,6 +73,9 @@
 
 } // namespace
 
+// Out of line, since an optional member needs it before the enclosing class is complete.
+RolloutBook::Rollout::Rollout() = default;
+
 RolloutBook::RolloutBook(IncarnationId aSelf,
                          ExposureBound aBound,
                          std::chrono::milliseconds aSession)
@@ -246,11 +255,15 @@
   NoteUses(rollout, service->second.mBase, aEvidence.mUses, aNow);
   const bool wasStopped = rollout.mIsStopped;
   if (aEvidence.mInstance != mSelf) {
-    auto& known = rollout.mPeers[aEvidence.mInstance];
+    auto& peer = rollout.mPeers[aEvidence.mInstance];
+    auto& known = peer.mEvidence;
     if (aEvidence.mOlder.mAnswers >= known.mOlder.mAnswers &&
         aEvidence.mNewer.mAnswers >= known.mNewer.mAnswers) {
       rollout.mJudge.AddOlder(aEvidence.mOlder - known.mOlder);
       rollout.mJudge.AddNewer(aEvidence.mNewer - known.mNewer);
+      if (known.mOlder != aEvidence.mOlder || known.mNewer != aEvidence.mNewer) {
+        peer.mChanged = aNow;
+      }
       known = aEvidence;
     }
   }
@@ -277,8 +290,18 @@
                     age,
                     rollout.mIsStopped,
                     UsesInTrial(rollout, aNow) });
-    for (const auto& [instance, evidence] : rollout.mPeers) {
-      all.push_back(evidence);
+    std::vector<const PeerEvidence*> news;
+    for (const auto& [instance, peer] : rollout.mPeers) {
+      if (aNow - peer.mChanged < kToldFor) {
+        news.push_back(&peer);
+      }
+    }
+    std::sort(news.begin(), news.end(), [](const auto* aLeft, const auto* aRight) {
+      return aLeft->mChanged > aRight->mChanged;
+    });
+    news.resize(std::min(news.size(), kMostTold));
+    for (const auto* it : news) {
+      all.push_back(it->mEvidence);
       all.back().mAge = age;
       all.back().mIsStopped = rollout.mIsStopped;
       all.back().mUses.clear();
@@ -332,7 +355,7 @@
   }
   for (const auto& [subject, known] : mSubjects) {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - known.mLastUse);
-    if (age < mSessionLifetime && PlaceOf(subject, aRollout.mOrder.mTarget) < kTrialShare) {
+    if (age < kUseToldFor && PlaceOf(subject, aRollout.mOrder.mTarget) < kTrialShare) {
       uses.push_back({ subject, known.mVersion == aRollout.mOrder.mTarget, age });
     }
   }
--- a/modules/skylarkchute_routing/fleet/RolloutBook.h
+++ b/modules/skylarkchute_routing/fleet/RolloutBook.h
@@ -92,7 +92,8 @@
       @returns whether a version was stopped by it */
   bool OnEvidence(const RolloutEvidence& aEvidence, TimePoint aNow);
 
-  /** Returns everything known of the running rollouts and of stopped ones. */
+  /** Returns the own counts on the running rollouts, and the latest news of a few instances: so
+      that a message stays small in a large fleet, and news still spread. */
   std::vector<RolloutEvidence> Evidence(TimePoint aNow) const;
 
   /** Returns what a rollout needs next. */
@@ -111,15 +112,23 @@
   void Prune(TimePoint aNow);
 
 private:
+  struct PeerEvidence
+  {
+    RolloutEvidence mEvidence;
+    TimePoint mChanged{}; /**< When its counts last grew here. */
+  };
+
   struct Rollout
   {
+    Rollout();
+
     RolloutOrder mOrder;
     TimePoint mStart{};
     bool mIsStopped = false;
     RolloutJudge mJudge;
     VersionCounts mOlder; /**< Of this instance. */
     VersionCounts mNewer;
-    std::map<IncarnationId, RolloutEvidence> mPeers;
+    std::map<IncarnationId, PeerEvidence> mPeers;
     std::uint64_t mSent = 0; /**< Requests of the service, this instance, since the order. */
     std::uint64_t mSentToNewer = 0;
   };
