Calls by HTTP in one class for store and instances; HEAD; pause after a failed accept

StoreCall also carried calls between instances; it is HttpCall in net/ now. An answer to HEAD states a length without a body, and the reader waited for one until the deadline (test: AttemptTests, an answer to HEAD). A control listener that cannot accept for want of descriptors pauses instead of spinning.

--- a/modules/skylarkchute_relay/callers/ControlServer.cpp
+++ b/modules/skylarkchute_relay/callers/ControlServer.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr std::chrono::seconds kIdleTimeout{ 30 };
 
+/** Pause after a connection could not be accepted, as when descriptors have run out. */
+constexpr std::chrono::milliseconds kAcceptPause{ 50 };
+
 } // namespace
 
 /** One connection. Keeps itself alive while it waits for the network. */
@@ -126,6 +129,7 @@
 ControlServer::ControlServer(asio::io_context& aContext, Handler aHandler)
   : mHandler(std::make_shared<Handler>(std::move(aHandler)))
   , mAcceptor(aContext)
+  , mRetryTimer(aContext)
 {
 }
 
@@ -153,8 +157,15 @@
     }
     if (!aError) {
       std::make_shared<Session>(std::move(aSocket), mHandler)->Start();
+      Accept();
+      return;
     }
-    Accept();
+    mRetryTimer.expires_after(kAcceptPause);
+    mRetryTimer.async_wait([this](const ErrorCode& aCancelled) {
+      if (!aCancelled) {
+        Accept();
+      }
+    });
   });
 }
 
--- a/modules/skylarkchute_relay/callers/ControlServer.h
+++ b/modules/skylarkchute_relay/callers/ControlServer.h
@@ -46,6 +46,7 @@
 
   std::shared_ptr<Handler> mHandler;
   boost::asio::ip::tcp::acceptor mAcceptor;
+  boost::asio::steady_timer mRetryTimer;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/http/AnswerReader.cpp
+++ b/modules/skylarkchute_relay/http/AnswerReader.cpp
@@ -10,8 +10,9 @@
 
 } // namespace
 
-AnswerReader::AnswerReader() : mParser(std::make_unique<Parser>())
+AnswerReader::AnswerReader(bool aHasNoBody) : mParser(std::make_unique<Parser>())
 {
+  mParser->skip(aHasNoBody);
   mParser->eager(true);
   mParser->body_limit(boost::none);
   mParser->header_limit(kMostHeadBytes);
--- a/modules/skylarkchute_relay/http/AnswerReader.h
+++ b/modules/skylarkchute_relay/http/AnswerReader.h
@@ -13,7 +13,8 @@
 class AnswerReader
 {
 public:
-  AnswerReader();
+  /** @param aHasNoBody  the request was HEAD: its answer ends with the head, whatever that says */
+  explicit AnswerReader(bool aHasNoBody);
 
   /** Reads on.
       @returns the bytes taken; the caller presents the rest again with what follows them */
--- a/modules/skylarkchute_relay/net/ClientConnection.cpp
+++ b/modules/skylarkchute_relay/net/ClientConnection.cpp
@@ -23,6 +23,12 @@
   return buffer;
 }
 
+bool IsHead(std::string_view aRequestHead)
+{
+  constexpr std::string_view kMethod = "HEAD ";
+  return aRequestHead.substr(0, kMethod.size()) == kMethod;
+}
+
 /** Reads `timeout=N` of a Keep-Alive field. */
 std::chrono::seconds KeepAliveTimeout(boost::beast::string_view aField)
 {
@@ -55,7 +61,7 @@
   mHead = std::move(aHead);
   mBody = std::move(aBody);
   mListener = aListener;
-  mReader = std::make_unique<AnswerReader>();
+  mReader = std::make_unique<AnswerReader>(IsHead(mHead));
   mPending.clear();
   mOnIdleClosed = nullptr;
   mHasChosen = false;
@@ -213,7 +219,7 @@
 bool ClientConnection::FinishAnswer()
 {
   if (mIsSkipped) {
-    mReader = std::make_unique<AnswerReader>();
+    mReader = std::make_unique<AnswerReader>(IsHead(mHead));
     mHasChosen = false;
     mIsSkipped = false;
     return false;
--- a/modules/skylarkchute_relay/store/StoreCall.cpp
+++ b/modules/skylarkchute_relay/net/HttpCall.cpp
@@ -1,6 +1,6 @@
-#include "StoreCall.h"
+#include "HttpCall.h"
 
-#include "../net/SocketOptions.h"
+#include "SocketOptions.h"
 
 namespace skylarkchute {
 
@@ -10,18 +10,18 @@
 
 } // namespace
 
-StoreCall::StoreCall(boost::asio::io_context& aContext, std::string aAddress)
+HttpCall::HttpCall(boost::asio::io_context& aContext, std::string aAddress)
   : mContext(aContext)
   , mAddress(std::move(aAddress))
   , mTimer(aContext)
 {
 }
 
-void StoreCall::Start(const std::string& aMethod,
-                      const std::string& aTarget,
-                      std::string aBody,
-                      std::chrono::milliseconds aTimeout,
-                      Done aDone)
+void HttpCall::Start(const std::string& aMethod,
+                     const std::string& aTarget,
+                     std::string aBody,
+                     std::chrono::milliseconds aTimeout,
+                     Done aDone)
 {
   Cancel();
   mDone = std::move(aDone);
@@ -54,7 +54,7 @@
                     shared_from_this());
 }
 
-void StoreCall::Cancel()
+void HttpCall::Cancel()
 {
   if (!mDone) {
     return;
@@ -65,7 +65,7 @@
 }
 
 /** Closes the connection: an answer that it might still bring belongs to no later call. */
-void StoreCall::DropConnection()
+void HttpCall::DropConnection()
 {
   if (mConnection) {
     mConnection->Close();
@@ -73,18 +73,18 @@
   }
 }
 
-HeadChoice StoreCall::OnHead(const AnswerReader& aReader)
+HeadChoice HttpCall::OnHead(const AnswerReader& aReader)
 {
   mResult.mStatus = aReader.Status();
   return HeadChoice::Accept;
 }
 
-void StoreCall::OnBody(std::string aBytes)
+void HttpCall::OnBody(std::string aBytes)
 {
   mResult.mBody.append(aBytes);
 }
 
-void StoreCall::OnDone(bool aReusable)
+void HttpCall::OnDone(bool aReusable)
 {
   if (!aReusable) {
     mConnection.reset();
@@ -94,13 +94,13 @@
   Finish(true);
 }
 
-void StoreCall::OnLost(ConnectionLoss /*aLoss*/)
+void HttpCall::OnLost(ConnectionLoss /*aLoss*/)
 {
   mConnection.reset();
   Finish(false);
 }
 
-void StoreCall::Finish(bool aHasAnswer)
+void HttpCall::Finish(bool aHasAnswer)
 {
   if (!mDone) {
     return;
--- a/modules/skylarkchute_relay/store/StoreCall.h
+++ b/modules/skylarkchute_relay/net/HttpCall.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../net/ClientConnection.h"
+#include "ClientConnection.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -18,15 +18,15 @@
   std::string mBody;
 };
 
-/** Makes calls one after the other over one kept connection. */
-class StoreCall final
+/** Makes calls to the store or another instance, one after the other over one kept connection. */
+class HttpCall final
   : public AnswerListener
-  , public std::enable_shared_from_this<StoreCall>
+  , public std::enable_shared_from_this<HttpCall>
 {
 public:
   using Done = std::function<void(const CallResult&)>;
 
-  StoreCall(boost::asio::io_context& aContext, std::string aAddress);
+  HttpCall(boost::asio::io_context& aContext, std::string aAddress);
 
   /** Makes a call; an earlier one that is under way is given up.
       @param aTimeout  until the call counts as unanswered */
--- a/modules/skylarkchute_relay/peers/PeerMesh.cpp
+++ b/modules/skylarkchute_relay/peers/PeerMesh.cpp
@@ -52,7 +52,7 @@
   }
   auto& peer = mPeers[aEntry.mName];
   if (!peer.mCall || peer.mEntry.mPeerAddress != aEntry.mPeerAddress) {
-    peer.mCall = std::make_shared<StoreCall>(mContext, aEntry.mPeerAddress);
+    peer.mCall = std::make_shared<HttpCall>(mContext, aEntry.mPeerAddress);
   }
   if (peer.mKnownSince == TimePoint{}) {
     peer.mKnownSince = std::chrono::steady_clock::now();
@@ -111,7 +111,7 @@
   if (mSeeds.empty() || (mSeedCall && mSeedCall->IsBusy())) {
     return;
   }
-  mSeedCall = std::make_shared<StoreCall>(mContext, mSeeds[mNextSeed++ % mSeeds.size()]);
+  mSeedCall = std::make_shared<HttpCall>(mContext, mSeeds[mNextSeed++ % mSeeds.size()]);
   mSeedCall->Start("POST",
                    kPath,
                    BuildJsonRpcRequest(kMethod, EncodeExchange(mOwner.MakeExchange(nullptr))),
--- a/modules/skylarkchute_relay/peers/PeerMesh.h
+++ b/modules/skylarkchute_relay/peers/PeerMesh.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../store/StoreCall.h"
+#include "../net/HttpCall.h"
 #include "PeerExchange.h"
 
 #include <skylarkchute_peers/rpc/JsonRpc.h>
@@ -58,7 +58,7 @@
   struct Peer
   {
     InstanceEntry mEntry;
-    std::shared_ptr<StoreCall> mCall;
+    std::shared_ptr<HttpCall> mCall;
     TimePoint mKnownSince{};
     TimePoint mLastHeard{};
     std::map<ObjectKind, KindState> mKinds;
@@ -75,7 +75,7 @@
   InstanceEntry mSelf;
   std::vector<std::string> mSeeds;
   std::size_t mNextSeed = 0;
-  std::shared_ptr<StoreCall> mSeedCall;
+  std::shared_ptr<HttpCall> mSeedCall;
   std::map<std::string, Peer> mPeers;
   std::minstd_rand mRandom;
   JsonRpcDispatcher mDispatcher;
--- a/modules/skylarkchute_relay/store/StoreWatcher.cpp
+++ b/modules/skylarkchute_relay/store/StoreWatcher.cpp
@@ -55,7 +55,7 @@
   , mMirror(aMirror)
   , mListener(aListener)
   , mJitter(std::move(aJitter))
-  , mCall(std::make_shared<StoreCall>(aContext, aAddress))
+  , mCall(std::make_shared<HttpCall>(aContext, aAddress))
   , mPauseTimer(aContext)
 {
 }
--- a/modules/skylarkchute_relay/store/StoreWatcher.h
+++ b/modules/skylarkchute_relay/store/StoreWatcher.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "StoreCall.h"
+#include "../net/HttpCall.h"
 #include "StoreMirror.h"
 
 namespace skylarkchute {
@@ -47,7 +47,7 @@
   StoreMirror& mMirror;
   StoreHealthListener& mListener;
   std::function<double()> mJitter;
-  std::shared_ptr<StoreCall> mCall;
+  std::shared_ptr<HttpCall> mCall;
   boost::asio::steady_timer mPauseTimer;
   KindSnapshot mListing;
   std::uint64_t mWatchFrom = 0; /**< Revision up to which the store itself told this kind. */
--- a/modules/skylarkchute_relay/store/StoreWriter.cpp
+++ b/modules/skylarkchute_relay/store/StoreWriter.cpp
@@ -24,7 +24,7 @@
     return false;
   }
   if (!call) {
-    call = std::make_shared<StoreCall>(mContext, mAddress);
+    call = std::make_shared<HttpCall>(mContext, mAddress);
   }
   call->Start(aMethod, aTarget, aBody, kWriteTimeout, std::move(aDone));
   return true;
--- a/modules/skylarkchute_relay/store/StoreWriter.h
+++ b/modules/skylarkchute_relay/store/StoreWriter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "StoreCall.h"
+#include "../net/HttpCall.h"
 
 #include <platform/StoreCodec.h>
 
@@ -27,7 +27,7 @@
 private:
   boost::asio::io_context& mContext;
   std::string mAddress;
-  std::map<std::string, std::shared_ptr<StoreCall>> mCalls;
+  std::map<std::string, std::shared_ptr<HttpCall>> mCalls;
 };
 
 } // namespace skylarkchute
--- a/tests/skylarkchute_relay/AttemptTests.cpp
+++ b/tests/skylarkchute_relay/AttemptTests.cpp
@@ -138,3 +138,19 @@
     [&] { return relay.mRouter.Endpoints().Find(EndpointId("e1"))->mOutstanding == 0; });
   CHECK(isClosed);
 }
+
+TEST_CASE("an answer to HEAD ends with its head, whatever length it states")
+{
+  RelayFixture relay;
+  FakeEndpoint endpoint(relay.mLoop, [](const std::string&, const auto& aSocket) {
+    WriteAll(aSocket,
+             "HTTP/1.1 200 OK\r\nSkylarkchute-Request-Id: r1\r\nSkylarkchute-Response-Seal: s1\r\n"
+             "Content-Length: 500\r\n\r\n");
+  });
+  relay.AddEndpoint("e1", endpoint.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.Gather(caller);
+  relay.Send(caller, CallerRequest("HEAD", "/check/1", "r1"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("\r\n\r\n") != std::string::npos; }));
+  CHECK(answer->find("HTTP/1.1 200") == 0);
+}
--- a/tests/skylarkchute_relay/StoreCallTests.cpp
+++ b/tests/skylarkchute_relay/HttpCallTests.cpp
@@ -1,7 +1,7 @@
 #include "RelayFixture.h"
 
 #include <catch2/catch.hpp>
-#include <skylarkchute_relay/store/StoreCall.h>
+#include <skylarkchute_relay/net/HttpCall.h>
 
 using namespace skylarkchute;
 using std::chrono::milliseconds;
@@ -24,7 +24,7 @@
     }
     WriteAll(aSocket, kAnswer);
   });
-  const auto call = std::make_shared<StoreCall>(relay.mLoop, server.Address());
+  const auto call = std::make_shared<HttpCall>(relay.mLoop, server.Address());
   std::vector<bool> answers;
   const auto note = [&](const CallResult& aResult) { answers.push_back(aResult.mHasAnswer); };
   call->Start("GET", "/a", {}, milliseconds(60), note);
