A request that crashes the endpoints it reaches is refused after two

A lost connection before the first byte makes a request a suspect; one connection 100 ms later tells whether the endpoint is down. Resets of connections, failures of endpoints that run, and streams beside the crasher do not count; a success clears. Refused for 30 s, then tried again.

--- a/modules/skylarkchute_relay/events/RelayEvents.cpp
+++ b/modules/skylarkchute_relay/events/RelayEvents.cpp
@@ -8,7 +8,8 @@
            &kSettingsReloaded, &kSettingsRefused,    &kProcessPaused,       &kConfigInForce,
            &kObjectIgnored,    &kEndpointChanged,    &kRolloutChanged,      &kRolloutStopped,
            &kStoreLost,        &kStoreRegained,      &kStoreWrite,          &kPeerLost,
-           &kPeerRegained,     &kRelayAttemptFailed, &kRelayRequestRefused, &kAnswerBegun };
+           &kPeerRegained,     &kRelayAttemptFailed, &kRelayRequestRefused, &kAnswerBegun,
+           &kEndpointDown };
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -118,6 +118,13 @@
   "An endpoint began to answer; says how loaded it was and what the answer is worth."
 };
 
+inline constexpr EventDescription kEndpointDown{
+  1143,
+  EventLevel::Warning,
+  "endpoint-down",
+  "An endpoint was down just after requests were lost there; those lost at two are refused."
+};
+
 /** Returns every event of this module. */
 std::vector<const EventDescription*> RelayEvents();
 
--- a/modules/skylarkchute_relay/requests/RelayContext.h
+++ b/modules/skylarkchute_relay/requests/RelayContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../endpoints/CrashProbe.h"
 #include "../endpoints/EndpointPool.h"
 
 #include <boost/asio/io_context.hpp>
@@ -13,6 +14,7 @@
   boost::asio::io_context& mLoop;
   FleetRouter& mRouter;
   EndpointPool& mPool;
+  CrashProbe& mCrashProbe;
   const EventLog& mLog;
   MetricsRegistry& mMetrics;
   const bool& mIsLeaving;  /**< Set once the process was told to stop. */
--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -311,6 +311,9 @@
   } else if (aLoss == ConnectionLoss::Malformed) {
     outcome = RelayOutcome::Damaged;
   }
+  if (outcome == RelayOutcome::Lost && !mHasFirstByte) {
+    mContext.mCrashProbe.OnLost(*mPlan, *mAttempt);
+  }
   EndAttempt(outcome);
   GoOn();
 }
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -60,12 +60,13 @@
   , mRandom(static_cast<std::minstd_rand::result_type>(StableHash(aIncarnation) % 2147483646U + 1))
   , mRouter(IncarnationId(mSelf.mIncarnation), mSettings.mZone, mSettings.mBounds, mRandom())
   , mPool(mLoop)
+  , mCrashProbe(mLoop, mRouter, mLog)
   , mSync(mRouter, mPool, mLog)
   , mMirror(
       [this](ObjectKind aKind, const StoreObject& aObject) { mSync.OnObject(aKind, aObject); })
   , mMesh(mLoop, *this, mSelf, mSettings.mSeeds, mRandom())
   , mWriter(mLoop, mSettings.mStoreAddress)
-  , mContext{ mLoop, mRouter, mPool, mLog, mMetrics, mIsLeaving, mRefusesNew }
+  , mContext{ mLoop, mRouter, mPool, mCrashProbe, mLog, mMetrics, mIsLeaving, mRefusesNew }
   , mCallers(mContext)
   , mReady(mLoop, [this](const ControlRequest& aRequest) { return AnswerReady(aRequest); })
   , mPeers(mLoop, [this](const ControlRequest& aRequest) { return AnswerPeer(aRequest); })
@@ -135,8 +136,19 @@
   return { kOk, "application/json", mMesh.Serve(aRequest.mBody) };
 }
 
-ControlAnswer RelayRuntime::AnswerMetrics(const ControlRequest& /*aRequest*/)
+ControlAnswer RelayRuntime::AnswerStatus()
 {
+  const auto now = Now();
+  const RelayStatusSource source{ mSelf,           mRouter,   mMirror,   mFailedKinds,
+                                  mMesh.Live(now), IsReady(), mIsLeaving };
+  return { kOk, "application/json", WriteJson(RelayStatusDocument(source, now)) };
+}
+
+ControlAnswer RelayRuntime::AnswerMetrics(const ControlRequest& aRequest)
+{
+  if (aRequest.mTarget == "/status") {
+    return AnswerStatus();
+  }
   if (const auto& config = mRouter.Config()) {
     for (const auto& it : config->Config().mServices) {
       mMetrics.Set("skylarkchute_pressure",
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -73,6 +73,7 @@
   std::minstd_rand mRandom;
   FleetRouter mRouter;
   EndpointPool mPool;
+  CrashProbe mCrashProbe;
   FleetSync mSync;
   StoreMirror mMirror;
   PeerMesh mMesh;
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -115,7 +115,7 @@
   plan.mTarget = aNow + route.mTargetLatency;
   plan.mIsContinuation = aRequest.mIsContinuation;
   plan.mChoosesSize = !route.mSizes.empty() && aRequest.mModel == "*";
-  if (mSuspects.IsRefused(plan.mFingerprint)) {
+  if (mSuspects.IsRefused(plan.mFingerprint, aNow)) {
     return Refuse(plan, RefusalReason::CrashesEndpoints, aNow);
   }
   return plan;
@@ -182,7 +182,7 @@
   if (aPlan.mSends >= kMostSends) {
     return Refuse(aPlan, RefusalReason::Overloaded, aNow);
   }
-  if (mSuspects.IsRefused(aPlan.mFingerprint)) {
+  if (mSuspects.IsRefused(aPlan.mFingerprint, aNow)) {
     return Refuse(aPlan, RefusalReason::CrashesEndpoints, aNow);
   }
   auto rows = mEndpoints.OpenRows(aPlan.mService);
--- a/tests/skylarkchute_relay/AttemptTests.cpp
+++ b/tests/skylarkchute_relay/AttemptTests.cpp
@@ -154,3 +154,49 @@
   REQUIRE(relay.RunUntil([&] { return answer->find("\r\n\r\n") != std::string::npos; }));
   CHECK(answer->find("HTTP/1.1 200") == 0);
 }
+
+TEST_CASE("a request that crashes the endpoints it reaches is refused after the second one")
+{
+  RelayFixture relay;
+  std::vector<std::unique_ptr<FakeEndpoint>> endpoints;
+  std::size_t crashes = 0;
+  const auto received = [&] {
+    std::size_t sum = 0;
+    for (const auto& it : endpoints) {
+      sum += it->mRequests.size();
+    }
+    return sum;
+  };
+  for (std::size_t n = 0; n < 5; ++n) {
+    endpoints.push_back(std::make_unique<FakeEndpoint>(
+      relay.mLoop, [&, n](const std::string& aRequest, const FakeEndpoint::Socket& aSocket) {
+        if (aRequest.find("crashing") == std::string::npos) {
+          WriteAll(aSocket, SealedAnswer(aRequest, 200, "fine"));
+          return;
+        }
+        endpoints[n]->StopListening();
+        aSocket->close();
+        ++crashes;
+      }));
+    relay.AddEndpoint("e" + std::to_string(n), endpoints[n]->Address());
+  }
+  // The caller sends it again and again, each time with another id.
+  std::string last;
+  for (int n = 0; n < 6; ++n) {
+    const auto caller = relay.Connect();
+    const auto answer = relay.Gather(caller);
+    relay.Send(caller, CallerRequest("POST", "/check/1", "r" + std::to_string(n), "crashing"));
+    REQUIRE(relay.RunUntil([&] { return answer->find("\r\n\r\n") != std::string::npos; }));
+    relay.RunUntil([end = std::chrono::steady_clock::now() + std::chrono::milliseconds(250)] {
+      return std::chrono::steady_clock::now() >= end;
+    });
+    last = *answer;
+  }
+  CHECK(last.find("HTTP/1.1 503") == 0);
+  CHECK(crashes == 2);
+  CHECK(received() == 2);
+  const auto caller = relay.Connect();
+  const auto answer = relay.Gather(caller);
+  relay.Send(caller, CallerRequest("POST", "/check/1", "s1", "harmless"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("fine") != std::string::npos; }));
+}
--- a/tests/skylarkchute_relay/RelayFixture.cpp
+++ b/tests/skylarkchute_relay/RelayFixture.cpp
@@ -50,6 +50,7 @@
 
 FakeEndpoint::FakeEndpoint(asio::io_context& aLoop, Script aScript)
   : mAcceptor(aLoop, { asio::ip::make_address("127.0.0.1"), 0 })
+  , mAddress("127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port()))
   , mScript(std::move(aScript))
 {
   Accept();
@@ -57,7 +58,12 @@
 
 std::string FakeEndpoint::Address() const
 {
-  return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  return mAddress;
+}
+
+void FakeEndpoint::StopListening()
+{
+  mAcceptor.close();
 }
 
 void FakeEndpoint::Accept()
--- a/tests/skylarkchute_relay/RelayFixture.h
+++ b/tests/skylarkchute_relay/RelayFixture.h
@@ -22,6 +22,9 @@
 
   std::string Address() const;
 
+  /** Accepts no further connections, like a process that has ended. */
+  void StopListening();
+
   /** Requests received, heads with bodies. */
   std::vector<std::string> mRequests;
   std::size_t mConnections = 0;
@@ -31,6 +34,7 @@
   void Read(const Socket& aSocket, const std::shared_ptr<std::string>& aBytes);
 
   boost::asio::ip::tcp::acceptor mAcceptor;
+  std::string mAddress;
   Script mScript;
 };
 
@@ -63,7 +67,10 @@
   EndpointPool mPool{ mLoop };
   bool mIsLeaving = false;
   bool mRefusesNew = false;
-  RelayContext mContext{ mLoop, mRouter, mPool, mLog, mMetrics, mIsLeaving, mRefusesNew };
+  CrashProbe mCrashProbe{ mLoop, mRouter, mLog };
+  RelayContext mContext{
+    mLoop, mRouter, mPool, mCrashProbe, mLog, mMetrics, mIsLeaving, mRefusesNew
+  };
   CallerServer mServer{ mContext };
   std::vector<bool> mEnded; /**< Of the connections gathered from, in order. */
 };
--- a/tests/skylarkchute_routing/FleetRouterTests.cpp
+++ b/tests/skylarkchute_routing/FleetRouterTests.cpp
@@ -236,6 +236,40 @@
   CHECK(std::holds_alternative<RequestPlan>(fleet.mRouter.Admit(request, fleet.mNow)));
 }
 
+TEST_CASE("fleet: a lost connection is no crash unless its endpoint is down and nothing succeeded")
+{
+  CrashSuspects suspects;
+  TimePoint now{};
+  const auto loseAt = [&](const std::string& aEndpoint) {
+    suspects.OnLost({ 42, aEndpoint }, now);
+  };
+  loseAt("e0~1");
+  loseAt("e1~1");
+  suspects.OnEndpointUp("e0~1");
+  suspects.OnEndpointUp("e1~1");
+  CHECK(suspects.OnEndpointDown("e0~1", now).empty());
+  CHECK_FALSE(suspects.IsRefused(42, now));
+
+  loseAt("e0~1");
+  loseAt("e1~1");
+  suspects.OnSuccess(42);
+  CHECK(suspects.OnEndpointDown("e0~1", now).empty());
+  CHECK(suspects.OnEndpointDown("e1~1", now).empty());
+  CHECK_FALSE(suspects.IsRefused(42, now));
+
+  loseAt("e0~2");
+  loseAt("e1~2");
+  CHECK(suspects.OnEndpointDown("e0~2", now).size() == 1);
+  CHECK_FALSE(suspects.IsRefused(42, now));
+  CHECK(suspects.OnEndpointDown("e1~2", now).size() == 1);
+  CHECK(suspects.IsRefused(42, now));
+  // Tried again after half a minute; one more crash refuses it again.
+  now += std::chrono::seconds(31);
+  CHECK_FALSE(suspects.IsRefused(42, now));
+  suspects.OnCrash({ 42, "e2~1" }, now);
+  CHECK(suspects.IsRefused(42, now));
+}
+
 TEST_CASE("fleet: the longest prefix of the host decides, whatever the host's case")
 {
   RelayConfig config;
