Idle teams are not refused just after a start

Cause of the demonstration's order refused with team-limit: an instance holds a fifth of its equal share until the collector has heard of every member, which took up to two report periods (4 s), and a call without tokens was refused while the team's tokens were in debt after a chat.

Reports come every 400 ms for the first 10 s; calls without tokens skip the token limit.

--- a/modules/skylarkchute_peers/quota/QuotaShares.cpp
+++ b/modules/skylarkchute_peers/quota/QuotaShares.cpp
@@ -55,7 +55,11 @@
     mNextReport = aNow;
   }
   if (aNow >= mNextReport) {
-    mNextReport = std::max(mNextReport + mOptions.mPeriod, aNow);
+    // A grant is no more than what is held until the collector has heard of every member, so that
+    // the first ones come soon one after the other.
+    const bool isStarting = aNow - *mStartedAt < mOptions.mGrantLife;
+    mNextReport =
+      std::max(mNextReport + (isStarting ? mOptions.mStartPeriod : mOptions.mPeriod), aNow);
     SendReports(aDemand, aNow, output);
   }
   NoteSilence(aNow, output);
--- a/modules/skylarkchute_peers/quota/ShareAllocator.h
+++ b/modules/skylarkchute_peers/quota/ShareAllocator.h
@@ -10,6 +10,7 @@
 struct QuotaOptions
 {
   std::chrono::milliseconds mPeriod{ 2000 };      /**< Between reports of one instance. */
+  std::chrono::milliseconds mStartPeriod{ 400 };  /**< The same, just after it started. */
   std::chrono::milliseconds mSilentAfter{ 5000 }; /**< A member without a report for this time. */
   std::chrono::milliseconds mGrantLife{ 10000 };  /**< A grant counts for this time. */
   /** Part of the limit that is split equally whatever the demand, 0 to 1. */
--- a/modules/skylarkchute_routing/systems/LimitSystem.cpp
+++ b/modules/skylarkchute_routing/systems/LimitSystem.cpp
@@ -61,7 +61,8 @@
                          std::chrono::seconds(1));
   }
   const bool limitsRequests = team->mRequestsPerSecond > 0;
-  const bool limitsTokens = team->mTokensPerSecond > 0;
+  // Calls of plain services take none, and go on while the tokens are used up.
+  const bool limitsTokens = team->mTokensPerSecond > 0 && tokens > 0;
   if (limitsRequests && !row.mRequests.Has(1, aNow)) {
     return NotRunRefusal(aRow.mFacts.mId,
                          429,
--- a/tests/skylarkchute_peers/QuotaTests.cpp
+++ b/tests/skylarkchute_peers/QuotaTests.cpp
@@ -118,6 +118,16 @@
 
 } // namespace
 
+TEST_CASE("Instances that start together have the whole limit to give within a second and a half")
+{
+  for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+    QuotaFleet fleet(3, seed);
+    fleet.Run(1500ms);
+    CHECK(fleet.Sum() >= 0.95 * kLimit);
+    CHECK(fleet.mHighest <= kBound * kLimit);
+  }
+}
+
 TEST_CASE("shares follow demand and add up to the limit")
 {
   QuotaFleet fleet(9, 1);
--- a/tests/skylarkchute_routing/LimitTests.cpp
+++ b/tests/skylarkchute_routing/LimitTests.cpp
@@ -66,6 +66,24 @@
   REQUIRE(Fixture::Of<DispatchStep>(it.mRouter.Start(next, it.mClock.Now())).size() == 1);
 }
 
+TEST_CASE("A request that takes no tokens is served while the team's tokens are used up")
+{
+  Fixture it;
+  it.AddEngine("e1", { "cheap-1" }, 64);
+  it.mBundle.mTeams[0].mTokensPerSecond = 100;
+  it.ApplyBundle();
+  it.mRouter.ApplyLimitShares({ { TeamName("small"), 0, 100 } }, it.mClock.Now());
+  it.mClock.Advance(std::chrono::seconds(1));
+  auto large = it.Facts();
+  large.mPromptTokens = 5000;
+  REQUIRE(Fixture::Of<DispatchStep>(it.mRouter.Start(large, it.mClock.Now())).size() == 1);
+  auto order = it.Facts();
+  order.mId = RequestId("order");
+  order.mPromptTokens = 0;
+  order.mMaxTokens = 0;
+  REQUIRE(Fixture::Of<RefuseStep>(it.mRouter.Start(order, it.mClock.Now())).empty());
+}
+
 TEST_CASE("A team that floods the queue does not delay the other team beyond its weight")
 {
   Fixture it;
