Rollouts of services with few requests end in time

Cause: a version is widened after 20 answers, and a trial of 8 % of a few requests a second never gets them before the order's period is over.

From the half of the period on, without the least answers, half of the subjects are tried; the exposure bound holds as before. The test of 5 requests a second did not complete before, and does now.

--- a/modules/skylarkchute_routing/fleet/RolloutBook.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutBook.cpp
@@ -15,6 +15,10 @@
 
 constexpr double kTrialShare = 0.08;
 
+/** The trial's share from kFreeFrom on when a service has so few requests that the version has not
+    had its least answers yet; the exposure bound holds as before. */
+constexpr double kScarceTrialShare = 0.5;
+
 /** Part of the exposure bound that one instance uses of its share; instances count requests that
     others may still be about to send. */
 constexpr double kUsedExposure = 0.75;
@@ -165,7 +169,8 @@
     const double part = (progress - kWiderFrom) / (kAllFrom - kWiderFrom);
     return place < kTrialShare + (1 - kTrialShare) * part;
   }
-  if (place >= kTrialShare || !MayExpose(aRollout, kTrialShare)) {
+  const bool isScarce = progress >= kFreeFrom && !hasEvidence;
+  if (place >= (isScarce ? kScarceTrialShare : kTrialShare) || !MayExpose(aRollout, kTrialShare)) {
     return false;
   }
   if (progress >= kFreeFrom || !aHasSubject) {
--- a/tests/skylarkchute_routing/RolloutBookTests.cpp
+++ b/tests/skylarkchute_routing/RolloutBookTests.cpp
@@ -12,7 +12,7 @@
 
 constexpr seconds kPeriod{ 24 };
 
-/** Sends requests of many subjects at 40 a second for a while; those on `v2` fail as asked. */
+/** Sends requests of many subjects at a steady rate for a while; those on `v2` fail as asked. */
 struct Traffic
 {
   int mOlder = 0;
@@ -21,8 +21,8 @@
   template<typename Fails>
   void Play(FleetFixture& aFleet, seconds aTime, const Fails& aFails)
   {
-    for (int i = 0; i < aTime.count() * 40; ++i) {
-      aFleet.mNow += milliseconds(25);
+    for (int i = 0; i < aTime.count() * mPerSecond; ++i) {
+      aFleet.mNow += milliseconds(1000 / mPerSecond);
       auto plan = aFleet.Admit("/chat/1", "s" + std::to_string(mSubject++ % 400));
       const auto attempt = aFleet.Attempt(plan);
       const bool isNewer = attempt.mVersion == "v2";
@@ -38,6 +38,7 @@
   }
 
   int mSubject = 0;
+  int mPerSecond = 40;
 };
 
 RolloutStep Step(FleetFixture& aFleet)
@@ -77,6 +78,20 @@
   CHECK(Step(fleet) == RolloutStep::Complete);
 }
 
+TEST_CASE("rollout: a service with few requests is moved in time, within the exposure bound")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("old", 2);
+  fleet.AddEndpoints("new", 2, "v2");
+  fleet.Order("v2", kPeriod);
+  Traffic traffic;
+  traffic.mPerSecond = 5;
+  traffic.Play(fleet, seconds(18), [](int) { return false; });
+  CHECK(traffic.mNewer <= 0.15 * (traffic.mNewer + traffic.mOlder) + 30);
+  traffic.Play(fleet, seconds(4), [](int) { return false; });
+  CHECK(Step(fleet) == RolloutStep::Complete);
+}
+
 TEST_CASE("rollout: a version that fails is stopped long before the exposure bound")
 {
   FleetFixture fleet;
