--- a/app/check/CheckCommand.cpp
+++ b/app/check/CheckCommand.cpp
@@ -3,6 +3,7 @@
 #include "../Commands.h"
 #include "../bundles/CheckBundle.h"
 #include "../bundles/OperatorText.h"
+#include "../settings/RelaySettingsFile.h"
 #include "../settings/SettingsFile.h"
 
 #include <ostream>
@@ -17,7 +18,10 @@
   if (!text || !IsSettingsText(*text)) {
     return RunCheckBundle({ aFile }, aOut, aErrors) == static_cast<int>(ExitCode::Ok);
   }
-  if (!ReadSettingsFile(aFile, {}, aErrors)) {
+  const bool isValid = IsRelaySettingsText(*text)
+                         ? ReadRelaySettingsFile(aFile, aErrors).has_value()
+                         : ReadSettingsFile(aFile, {}, aErrors).has_value();
+  if (!isValid) {
     return false;
   }
   aOut << aFile << ": settings are valid\n";
@@ -31,7 +35,7 @@
                     std::ostream& aErrors)
 {
   if (aArguments.empty() || aArguments.front() == "--help") {
-    aOut << "usage: skylarkchute check FILE...\nChecks settings and bundles.\n";
+    aOut << "usage: skylarkchute check FILE...\nChecks settings of serve and relay, and bundles.\n";
     return static_cast<int>(aArguments.empty() ? ExitCode::BadInput : ExitCode::Ok);
   }
   bool valid = true;
--- a/app/relay/RelayCommand.cpp
+++ b/app/relay/RelayCommand.cpp
@@ -1,7 +1,7 @@
 #include "RelayCommand.h"
 
 #include "../Commands.h"
-#include "../bundles/OperatorText.h"
+#include "../settings/RelaySettingsFile.h"
 
 #include <boost/program_options.hpp>
 #include <skylarkchute_relay/skylarkchute_relay.h>
@@ -10,7 +10,6 @@
 
 namespace skylarkchute {
 
-namespace leaf = boost::leaf;
 namespace options = boost::program_options;
 
 namespace {
@@ -18,29 +17,6 @@
 /** Bytes of the random part of an incarnation. */
 constexpr std::size_t kIncarnationBytes = 8;
 
-std::optional<RelaySettings> ReadRelaySettings(const std::string& aFile, std::ostream& aErrors)
-{
-  const auto text = ReadFile(aFile);
-  if (!text) {
-    aErrors << "skylarkchute relay: " << aFile << " cannot be read\n";
-    return std::nullopt;
-  }
-  return leaf::try_handle_all(
-    [&]() -> leaf::result<std::optional<RelaySettings>> {
-      BOOST_LEAF_AUTO(document, IniDocument::Parse(*text));
-      BOOST_LEAF_AUTO(settings, ParseRelaySettings(document));
-      return std::optional<RelaySettings>(settings);
-    },
-    [&](const Faults& aFaults) {
-      aErrors << aFile << ": " << aFaults.Text();
-      return std::optional<RelaySettings>();
-    },
-    [&] {
-      aErrors << aFile << ": not readable as settings\n";
-      return std::optional<RelaySettings>();
-    });
-}
-
 } // namespace
 
 int RunRelayCommand(const std::vector<std::string>& aArguments,
@@ -61,7 +37,7 @@
     return static_cast<int>(ExitCode::Ok);
   }
   options::notify(values);
-  const auto read = [&] { return ReadRelaySettings(file, aErrors); };
+  const auto read = [&] { return ReadRelaySettingsFile(file, aErrors); };
   const auto settings = read();
   if (!settings) {
     return static_cast<int>(ExitCode::BadInput);
--- /dev/null
+++ b/app/settings/RelaySettingsFile.cpp
@@ -0,0 +1,41 @@
+#include "RelaySettingsFile.h"
+
+#include "../bundles/OperatorText.h"
+
+#include <ostream>
+
+namespace skylarkchute {
+
+namespace leaf = boost::leaf;
+
+std::optional<RelaySettings> ReadRelaySettingsFile(const std::string& aFile, std::ostream& aErrors)
+{
+  const auto text = ReadFile(aFile);
+  if (!text) {
+    aErrors << aFile << ": cannot be read\n";
+    return std::nullopt;
+  }
+  return leaf::try_handle_all(
+    [&]() -> leaf::result<std::optional<RelaySettings>> {
+      BOOST_LEAF_AUTO(document, IniDocument::Parse(*text));
+      BOOST_LEAF_AUTO(settings, ParseRelaySettings(document));
+      return std::optional<RelaySettings>(settings);
+    },
+    [&](const Faults& aFaults) {
+      for (const auto& it : aFaults.mFaults) {
+        aErrors << aFile << ": " << it.Text() << "\n";
+      }
+      return std::optional<RelaySettings>();
+    },
+    [&] {
+      aErrors << aFile << ": not readable as settings\n";
+      return std::optional<RelaySettings>();
+    });
+}
+
+bool IsRelaySettingsText(const std::string& aText)
+{
+  return aText.find("[listen]") != std::string::npos;
+}
+
+} // namespace skylarkchute
--- a/app/status/StatusReport.cpp
+++ b/app/status/StatusReport.cpp
@@ -1,46 +1,13 @@
 #include "StatusReport.h"
 
-#include <iomanip>
+#include "RelayStatusReport.h"
+#include "TableRow.h"
+
+#include <algorithm>
 #include <sstream>
 
 namespace skylarkchute {
 
-namespace {
-
-constexpr int kNameWidth = 24;
-constexpr int kNumberWidth = 12;
-
-/** Builds one line of a table with columns of fixed width. */
-class Row
-{
-public:
-  Row& Name(const std::string& aText)
-  {
-    mOut << std::left << std::setw(kNameWidth) << aText;
-    return *this;
-  }
-
-  Row& Cell(const std::string& aText)
-  {
-    mOut << std::left << std::setw(kNumberWidth) << aText;
-    return *this;
-  }
-
-  Row& Number(const Json::Value& aValue)
-  {
-    std::ostringstream number;
-    number << aValue.asDouble();
-    return Cell(number.str());
-  }
-
-  std::string Line() const { return mOut.str() + "\n"; }
-
-private:
-  std::ostringstream mOut;
-};
-
-} // namespace
-
 StatusReport::StatusReport(std::vector<InstanceStatus> aInstances, bool aPlatformAnswers)
   : mInstances(std::move(aInstances))
   , mPlatformAnswers(aPlatformAnswers)
@@ -49,6 +16,12 @@
 
 std::string StatusReport::Text() const
 {
+  const bool hasRelays = std::any_of(mInstances.begin(), mInstances.end(), [](const auto& aEntry) {
+    return IsRelayStatus(aEntry.mDocument);
+  });
+  if (hasRelays) {
+    return RelayStatusText(mInstances);
+  }
   std::string text = mPlatformAnswers ? "" : "The platform does not answer.\n\n";
   text += FleetText();
   const auto* document = FirstAnswer();
@@ -88,7 +61,7 @@
 
 std::string StatusReport::FleetText() const
 {
-  auto text = Row()
+  auto text = TableRow()
                 .Name("INSTANCE")
                 .Cell("ZONE")
                 .Cell("GENERATION")
@@ -97,7 +70,7 @@
                 .Cell("IN FLIGHT")
                 .Line();
   for (const auto& it : mInstances) {
-    Row row;
+    TableRow row;
     row.Name(it.mInstance);
     if (!it.mDocument.isObject()) {
       text += row.Cell("no answer").Line();
@@ -116,9 +89,9 @@
 std::string StatusReport::RollsText(const Json::Value& aDocument)
 {
   auto text =
-    "\n" + Row().Name("ROLL").Name("TO").Cell("PERCENT").Cell("STATE").Cell("REASON").Line();
+    "\n" + TableRow().Name("ROLL").Name("TO").Cell("PERCENT").Cell("STATE").Cell("REASON").Line();
   for (const auto& it : aDocument["rolls"]) {
-    text += Row()
+    text += TableRow()
               .Name(it["name"].asString())
               .Name(it["to"].asString())
               .Number(it["percent"])
@@ -132,9 +105,10 @@
 std::string StatusReport::EndpointsText(const Json::Value& aDocument)
 {
   auto text =
-    "\n" + Row().Name("ENDPOINT").Cell("ZONE").Cell("KIND").Cell("LEAVING").Cell("HOSTS").Line();
+    "\n" +
+    TableRow().Name("ENDPOINT").Cell("ZONE").Cell("KIND").Cell("LEAVING").Cell("HOSTS").Line();
   for (const auto& it : aDocument["endpoints"]) {
-    text += Row()
+    text += TableRow()
               .Name(it["id"].asString())
               .Cell(it["zone"].asString())
               .Cell(it["kind"].asString())
@@ -147,9 +121,9 @@
 
 std::string StatusReport::LimitsText(const Json::Value& aDocument)
 {
-  auto text = "\n" + Row().Name("TEAM").Cell("REQ/S").Cell("TOKENS/S").Line();
+  auto text = "\n" + TableRow().Name("TEAM").Cell("REQ/S").Cell("TOKENS/S").Line();
   for (const auto& it : aDocument["limits"]) {
-    text += Row()
+    text += TableRow()
               .Name(it["team"].asString())
               .Number(it["requests_per_second"])
               .Number(it["tokens_per_second"])
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -2,6 +2,7 @@
 
 #include "../events/RelayEvents.h"
 #include "../net/SocketOptions.h"
+#include "RelayStatus.h"
 
 #include <algorithm>
 #include <csignal>
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -49,6 +49,7 @@
   ControlAnswer AnswerReady(const ControlRequest& aRequest) const;
   ControlAnswer AnswerPeer(const ControlRequest& aRequest);
   ControlAnswer AnswerMetrics(const ControlRequest& aRequest);
+  ControlAnswer AnswerStatus();
 
   void WaitForSignal();
   void Reload();
--- /dev/null
+++ b/modules/skylarkchute_relay/runtime/RelayStatus.cpp
@@ -0,0 +1,117 @@
+#include "RelayStatus.h"
+
+namespace skylarkchute {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string_view StateName(RolloutState aState)
+{
+  switch (aState) {
+    case RolloutState::Running:
+      return "running";
+    case RolloutState::Completed:
+      return "completed";
+    case RolloutState::RolledBack:
+      return "rolled back";
+  }
+  return "running";
+}
+
+std::string_view StateName(const FleetRow& aRow, TimePoint aNow)
+{
+  if (aRow.mMissingSince) {
+    return "lapsed";
+  }
+  if (aRow.mEntry.mDraining) {
+    return "draining";
+  }
+  return aRow.mHealth.Allows(aNow) ? "open" : "avoided";
+}
+
+Json::Value ConfigOf(const RelayStatusSource& aSource, TimePoint aNow)
+{
+  Json::Value config(Json::objectValue);
+  if (const auto& known = aSource.mRouter.Config()) {
+    const auto age = aNow - aSource.mMirror.ChangedAt(ObjectKind::Config);
+    config["version"] = Json::UInt64(known->Config().mVersion);
+    config["age_ms"] = Json::Int64(std::chrono::duration_cast<milliseconds>(age).count());
+  }
+  return config;
+}
+
+Json::Value EndpointsOf(const RelayStatusSource& aSource, TimePoint aNow)
+{
+  Json::Value endpoints(Json::arrayValue);
+  for (const auto& [id, row] : aSource.mRouter.Endpoints().All()) {
+    Json::Value entry(Json::objectValue);
+    entry["id"] = id.Value();
+    entry["service"] = row.mEntry.mService.Value();
+    entry["version"] = row.mEntry.mVersion;
+    entry["zone"] = row.mEntry.mZone.Value();
+    entry["state"] = std::string(StateName(row, aNow));
+    entry["outstanding"] = row.mOutstanding;
+    entry["failure_rate"] = row.mHealth.FailureRate();
+    endpoints.append(entry);
+  }
+  return endpoints;
+}
+
+Json::Value RetriesOf(const RelayStatusSource& aSource, TimePoint aNow)
+{
+  Json::Value retries(Json::arrayValue);
+  for (const auto& [service, use] : aSource.mRouter.RetryUses(aNow)) {
+    Json::Value entry(Json::objectValue);
+    entry["service"] = service.Value();
+    entry["used"] = use.mRepeats;
+    entry["room"] = use.mRoom;
+    entry["pressure"] = aSource.mRouter.Endpoints().Pressure(service, aNow);
+    retries.append(entry);
+  }
+  return retries;
+}
+
+Json::Value RolloutsOf(const RelayStatusSource& aSource)
+{
+  Json::Value rollouts(Json::arrayValue);
+  const auto& book = aSource.mRouter.Rollouts();
+  for (const auto& it : book.Services()) {
+    const auto* order = book.Order(it);
+    Json::Value entry(Json::objectValue);
+    entry["service"] = it.Value();
+    entry["target"] = order->mTarget;
+    entry["state"] = std::string(StateName(order->mState));
+    entry["period_ms"] = Json::Int64(order->mPeriod.count());
+    rollouts.append(entry);
+  }
+  return rollouts;
+}
+
+} // namespace
+
+Json::Value RelayStatusDocument(const RelayStatusSource& aSource, TimePoint aNow)
+{
+  Json::Value document(Json::objectValue);
+  document["program"] = "relay";
+  document["name"] = aSource.mSelf.mName;
+  document["incarnation"] = aSource.mSelf.mIncarnation;
+  document["zone"] = aSource.mSelf.mZone;
+  document["ready"] = aSource.mIsReady;
+  document["leaving"] = aSource.mIsLeaving;
+  document["config"] = ConfigOf(aSource, aNow);
+  document["store_unserved"] = Json::Value(Json::arrayValue);
+  for (const auto it : aSource.mFailedKinds) {
+    document["store_unserved"].append(std::string(KindName(it)));
+  }
+  document["peers"] = Json::Value(Json::arrayValue);
+  for (const auto& it : aSource.mPeers) {
+    document["peers"].append(it.Value());
+  }
+  document["endpoints"] = EndpointsOf(aSource, aNow);
+  document["retries"] = RetriesOf(aSource, aNow);
+  document["rollouts"] = RolloutsOf(aSource);
+  return document;
+}
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -328,6 +328,15 @@
   return std::max(kLeastPause, aPlan.mRoute->mLargestGap * kPauseFactor);
 }
 
+std::map<ServiceName, RetryWindow::Use> FleetRouter::RetryUses(TimePoint aNow) const
+{
+  std::map<ServiceName, RetryWindow::Use> uses;
+  for (const auto& [service, window] : mRetryWindows) {
+    uses[service] = window.UseAt(aNow, mBounds.mRetry, mInstances);
+  }
+  return uses;
+}
+
 void FleetRouter::SetInstances(std::size_t aInstances)
 {
   mInstances = std::max<std::size_t>(aInstances, 1);
--- a/modules/skylarkchute_routing/fleet/FleetRouter.h
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.h
@@ -74,6 +74,9 @@
   /** Returns how long a stream may pause before it goes on at another endpoint. */
   std::chrono::milliseconds PausePatience(const RequestPlan& aPlan, TimePoint aNow) const;
 
+  /** Returns the use of each service's retry window, for reports. */
+  std::map<ServiceName, RetryWindow::Use> RetryUses(TimePoint aNow) const;
+
   /** Sets the number of live instances, this one included. */
   void SetInstances(std::size_t aInstances);
 
--- a/modules/skylarkchute_routing/fleet/RetryWindow.cpp
+++ b/modules/skylarkchute_routing/fleet/RetryWindow.cpp
@@ -12,11 +12,16 @@
 
 } // namespace
 
-RetryWindow::Slice& RetryWindow::Current(TimePoint aNow, const RetryBound& aBound)
+std::int64_t RetryWindow::NumberAt(TimePoint aNow, const RetryBound& aBound)
 {
   const auto length =
     std::max<std::chrono::nanoseconds>(aBound.mWindow / kSlices, std::chrono::milliseconds(1));
-  const std::int64_t number = aNow.time_since_epoch() / length;
+  return aNow.time_since_epoch() / length;
+}
+
+RetryWindow::Slice& RetryWindow::Current(TimePoint aNow, const RetryBound& aBound)
+{
+  const auto number = NumberAt(aNow, aBound);
   auto& slice = mSlices[static_cast<std::size_t>(number) % mSlices.size()];
   if (slice.mNumber != number) {
     slice = Slice{ number, 0, 0 };
@@ -31,21 +36,29 @@
 
 bool RetryWindow::Take(TimePoint aNow, const RetryBound& aBound, std::size_t aInstances)
 {
-  auto& current = Current(aNow, aBound);
+  const auto use = UseAt(aNow, aBound, aInstances);
+  if (use.mRepeats + 1 > use.mRoom) {
+    return false;
+  }
+  ++Current(aNow, aBound).mRepeats;
+  return true;
+}
+
+RetryWindow::Use RetryWindow::UseAt(TimePoint aNow,
+                                    const RetryBound& aBound,
+                                    std::size_t aInstances) const
+{
+  const auto current = NumberAt(aNow, aBound);
   double firsts = 0;
   double repeats = 0;
   for (const auto& it : mSlices) {
-    if (it.mNumber >= 0 && current.mNumber - it.mNumber <= static_cast<std::int64_t>(kSlices)) {
+    if (it.mNumber >= 0 && current - it.mNumber <= static_cast<std::int64_t>(kSlices)) {
       firsts += it.mFirsts;
       repeats += it.mRepeats;
     }
   }
   const double share = aBound.mSlack / static_cast<double>(std::max<std::size_t>(aInstances, 1));
-  if (repeats + 1 > kUsedPart * (aBound.mRatio * firsts + share)) {
-    return false;
-  }
-  ++current.mRepeats;
-  return true;
+  return { repeats, kUsedPart * (aBound.mRatio * firsts + share) };
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/fleet/RetryWindow.h
+++ b/modules/skylarkchute_routing/fleet/RetryWindow.h
@@ -32,6 +32,16 @@
       @returns false when the window has no room */
   bool Take(TimePoint aNow, const RetryBound& aBound, std::size_t aInstances);
 
+  /** Repeats of a window, and how many it has room for altogether. */
+  struct Use
+  {
+    double mRepeats = 0;
+    double mRoom = 0;
+  };
+
+  /** Returns the use of the window that ends now. */
+  Use UseAt(TimePoint aNow, const RetryBound& aBound, std::size_t aInstances) const;
+
 private:
   static constexpr std::size_t kSlices = 10;
 
@@ -42,6 +52,7 @@
     std::uint32_t mRepeats = 0;
   };
 
+  static std::int64_t NumberAt(TimePoint aNow, const RetryBound& aBound);
   Slice& Current(TimePoint aNow, const RetryBound& aBound);
 
   std::array<Slice, kSlices + 1> mSlices;
--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -2,6 +2,8 @@
 #include "platform/PlatformStandin.h"
 #include "rating/RatingStandIn.h"
 #include "service/PlainServiceStandIn.h"
+#include "users_platform/UsersEndpointStandIn.h"
+#include "users_platform/UsersStoreStandIn.h"
 #include "weights/WeightStoreStandIn.h"
 
 #include <boost/program_options.hpp>
@@ -143,6 +145,44 @@
   return WaitForSignal(standIn.Port());
 }
 
+int RunUsersStore(const Arguments& aArguments)
+{
+  UsersStoreStandIn::Options store;
+  options::variables_map values;
+  if (!Parse(aArguments, Common("users-store", store.mPort), values)) {
+    return 0;
+  }
+  const UsersStoreStandIn standIn(store);
+  return WaitForSignal(standIn.Port());
+}
+
+int RunUsersEndpoint(const Arguments& aArguments)
+{
+  UsersEndpointStandIn::Options endpoint;
+  auto eventMs = endpoint.mEventTime.count();
+  auto drainMs = endpoint.mDrainTime.count();
+  auto description = Common("users-endpoint", endpoint.mPort);
+  auto add = description.add_options();
+  add("store", options::value(&endpoint.mStorePort)->required(), "port of the store");
+  add("id", options::value(&endpoint.mId)->required(), "name of its entry");
+  add("service", options::value(&endpoint.mService)->required(), "service that it is of");
+  add("zone", options::value(&endpoint.mZone)->required(), "availability zone");
+  add("version", options::value(&endpoint.mVersion)->default_value(endpoint.mVersion), "version");
+  add(
+    "slots", options::value(&endpoint.mSlots)->default_value(endpoint.mSlots), "requests at once");
+  add("events", options::value(&endpoint.mEvents)->default_value(endpoint.mEvents), "of a stream");
+  add("event-ms", options::value(&eventMs)->default_value(eventMs), "milliseconds between events");
+  add("drain-ms", options::value(&drainMs)->default_value(drainMs), "milliseconds served on");
+  options::variables_map values;
+  if (!Parse(aArguments, description, values)) {
+    return 0;
+  }
+  endpoint.mEventTime = std::chrono::milliseconds(eventMs);
+  endpoint.mDrainTime = std::chrono::milliseconds(drainMs);
+  const UsersEndpointStandIn standIn(endpoint);
+  return WaitForSignal(standIn.Port());
+}
+
 struct NamedCommand
 {
   std::string mName;
@@ -153,8 +193,13 @@
 const std::vector<NamedCommand>& Commands()
 {
   static const std::vector<NamedCommand> commands{
-    { "platform", RunPlatform }, { "engine", RunEngine },   { "service", RunService },
-    { "rating", RunRating },     { "weights", RunWeights },
+    { "platform", RunPlatform },
+    { "engine", RunEngine },
+    { "service", RunService },
+    { "rating", RunRating },
+    { "weights", RunWeights },
+    { "users-store", RunUsersStore },
+    { "users-endpoint", RunUsersEndpoint },
   };
   return commands;
 }
--- /dev/null
+++ b/standins/users_platform/UsersEndpointStandIn.cpp
@@ -0,0 +1,237 @@
+#include "UsersEndpointStandIn.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/StreamCopier.h>
+
+#include <iostream>
+#include <sstream>
+
+namespace skylarkchute::standins {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+
+constexpr milliseconds kHeartbeat{ 500 };
+constexpr int kStoreTimeoutSeconds = 2;
+
+constexpr const char* kRequestId = "Skylarkchute-Request-Id";
+constexpr const char* kNotExecuted = "Skylarkchute-Not-Executed";
+constexpr const char* kTokens = "Skylarkchute-Token-Counts";
+constexpr const char* kObjects = "/skylarkchute/objects/servers";
+
+/** Returns the most output tokens of `PROMPT,OUTPUT`. */
+std::uint64_t OutputTokens(const std::string& aText)
+{
+  const auto comma = aText.find(',');
+  return comma == std::string::npos ? 0 : std::strtoull(aText.c_str() + comma + 1, nullptr, 10);
+}
+
+} // namespace
+
+UsersEndpointStandIn::UsersEndpointStandIn(Options aOptions)
+  : mOptions(std::move(aOptions))
+  , mBorn(
+      std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count())
+  , mServer(mOptions.mPort,
+            [this](Request& aRequest, Response& aResponse) { Handle(aRequest, aResponse); })
+{
+  mSwitches["slow_ms"] = 0;
+  mSwitches["error_status"] = 0;
+  mSwitches["crash_word"] = "";
+  mSwitches["break_after"] = 0;
+  Register("ready");
+  mHeartbeat = std::thread([this] { Heartbeat(); });
+}
+
+UsersEndpointStandIn::~UsersEndpointStandIn()
+{
+  mIsLeaving = true;
+  mHeartbeat.join();
+  Register("draining");
+  std::this_thread::sleep_for(mOptions.mDrainTime);
+  CallStore("DELETE", kObjects + ("/" + mOptions.mId), {});
+}
+
+void UsersEndpointStandIn::Heartbeat()
+{
+  while (!mIsLeaving) {
+    std::this_thread::sleep_for(kHeartbeat);
+    if (!mIsLeaving) {
+      Register("ready");
+    }
+  }
+}
+
+/** Writes the endpoint's entry, and creates it when it is not there.
+    @returns the status of the last call, zero without an answer */
+int UsersEndpointStandIn::Register(const std::string& aState)
+{
+  Json::Value body(Json::objectValue);
+  body["Metadata"]["Name"] = mOptions.mId;
+  auto& spec = body["Spec"];
+  spec["Service"] = mOptions.mService;
+  spec["Address"] = "127.0.0.1:" + std::to_string(Port());
+  spec["Zone"] = mOptions.mZone;
+  spec["Version"] = mOptions.mVersion;
+  spec["Slots"] = mOptions.mSlots;
+  spec["State"] = aState;
+  spec["ColdRemainingMs"] = 0;
+  spec["born"] = Json::Int64(mBorn);
+  spec["Seq"] = Json::UInt64(++mSeq);
+  const auto status = CallStore("PUT", kObjects + ("/" + mOptions.mId), body);
+  return status == kNotFound ? CallStore("POST", kObjects, body) : status;
+}
+
+int UsersEndpointStandIn::CallStore(const std::string& aMethod,
+                                    const std::string& aTarget,
+                                    const Json::Value& aBody)
+{
+  try {
+    Poco::Net::HTTPClientSession session("127.0.0.1", mOptions.mStorePort);
+    session.setTimeout(Poco::Timespan(kStoreTimeoutSeconds, 0));
+    Poco::Net::HTTPRequest request(aMethod, aTarget, Poco::Net::HTTPMessage::HTTP_1_1);
+    const auto text = WriteJson(aBody);
+    request.setContentLength(static_cast<std::streamsize>(text.size()));
+    session.sendRequest(request) << text;
+    Poco::Net::HTTPResponse response;
+    std::string answer;
+    Poco::StreamCopier::copyToString(session.receiveResponse(response), answer);
+    return response.getStatus();
+  } catch (const Poco::Exception& error) {
+    std::cerr << "store does not answer: " << error.displayText() << '\n';
+    return 0;
+  }
+}
+
+Json::Value UsersEndpointStandIn::SwitchValue(const char* aName) const
+{
+  const std::lock_guard lock(mMutex);
+  return mSwitches[aName];
+}
+
+std::string UsersEndpointStandIn::LoadText() const
+{
+  return std::to_string(mRunning) + ",0," + std::to_string(mOptions.mSlots);
+}
+
+void UsersEndpointStandIn::Handle(Request& aRequest, Response& aResponse)
+{
+  const auto& path = aRequest.getURI();
+  if (path.starts_with("/standin/")) {
+    HandleControl(aRequest, aResponse);
+    return;
+  }
+  if (path == "/healthz") {
+    aResponse.set("Skylarkchute-Instance-Id", mOptions.mId);
+    Respond(aResponse, mIsLeaving ? kUnavailable : kOk, Json::Value(Json::objectValue));
+    return;
+  }
+  if (RefuseNotRun(aRequest, aResponse)) {
+    return;
+  }
+  ++mRunning;
+  Run(aRequest, aResponse);
+  --mRunning;
+}
+
+/** Refuses what this endpoint does not run: requests without an id, for another endpoint, or more
+    than it has slots for. */
+bool UsersEndpointStandIn::RefuseNotRun(const Request& aRequest, Response& aResponse)
+{
+  const auto id = aRequest.get(kRequestId, "");
+  int status = 0;
+  if (id.empty()) {
+    status = kBadRequest;
+  } else if (aRequest.get("Skylarkchute-Expect-Instance", mOptions.mId) != mOptions.mId) {
+    status = kMisdirected;
+  } else if (mRunning >= mOptions.mSlots) {
+    status = kUnavailable;
+  }
+  if (status == 0) {
+    return false;
+  }
+  aResponse.set(kRequestId, id);
+  aResponse.set(kNotExecuted, "1");
+  Respond(aResponse, status, Json::Value(Json::objectValue));
+  return true;
+}
+
+void UsersEndpointStandIn::Run(Request& aRequest, Response& aResponse)
+{
+  const auto body = ReadBody(aRequest);
+  const auto id = aRequest.get(kRequestId, "");
+  {
+    const std::lock_guard lock(mMutex);
+    ++mRuns[id];
+  }
+  const auto crashWord = SwitchValue("crash_word").asString();
+  if (!crashWord.empty() && body.find(crashWord) != std::string::npos) {
+    std::quick_exit(1);
+  }
+  std::this_thread::sleep_for(milliseconds(SwitchValue("slow_ms").asInt64()));
+  aResponse.set(kRequestId, id);
+  aResponse.set("Skylarkchute-Response-Seal", "standin." + mOptions.mId);
+  aResponse.set("Skylarkchute-Server-Load", LoadText());
+  const auto error = SwitchValue("error_status").asInt();
+  if (error == 0 && aRequest.has(kTokens)) {
+    RunStream(aRequest, aResponse);
+    return;
+  }
+  Json::Value answer(Json::objectValue);
+  answer["endpoint"] = mOptions.mId;
+  answer["version"] = mOptions.mVersion;
+  answer["request"] = id;
+  Respond(aResponse, error != 0 ? error : kOk, answer);
+}
+
+void UsersEndpointStandIn::RunStream(Request& aRequest, Response& aResponse)
+{
+  const auto asked = OutputTokens(aRequest.get(kTokens, ""));
+  const auto events = std::min(mOptions.mEvents, std::max<std::uint64_t>(asked, 1));
+  const auto breakAfter = SwitchValue("break_after").asUInt64();
+  const auto last = std::strtoull(aRequest.get("Last-Event-Id", "0").c_str(), nullptr, 10);
+  aResponse.set("Skylarkchute-Confidence", "90");
+  aResponse.setContentType("text/event-stream");
+  aResponse.setChunkedTransferEncoding(true);
+  auto& out = aResponse.send();
+  for (auto n = last + 1; n <= events; ++n) {
+    out << "id: " << n << "\ndata: word" << n << "\n\n" << std::flush;
+    if (breakAfter != 0 && n - last >= breakAfter) {
+      Hangup(aRequest);
+      return;
+    }
+    std::this_thread::sleep_for(mOptions.mEventTime);
+  }
+}
+
+void UsersEndpointStandIn::HandleControl(Request& aRequest, Response& aResponse)
+{
+  const auto& path = aRequest.getURI();
+  const auto changes = ReadJson(aRequest);
+  const std::lock_guard lock(mMutex);
+  if (path == "/standin/switches") {
+    ApplySwitches(mSwitches, changes);
+    Respond(aResponse, kOk, mSwitches);
+    return;
+  }
+  if (path == "/standin/records") {
+    Json::Value records(Json::objectValue);
+    for (const auto& [id, runs] : mRuns) {
+      records["runs"][id] = runs;
+    }
+    Respond(aResponse, kOk, records);
+    return;
+  }
+  Respond(aResponse, kNotFound, Json::Value(Json::objectValue));
+}
+
+} // namespace skylarkchute::standins
--- /dev/null
+++ b/standins/users_platform/UsersStore.cpp
@@ -0,0 +1,170 @@
+#include "UsersStore.h"
+
+namespace skylarkchute::standins {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kCreated = 201;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kHistoryGone = 410;
+
+/** Changes kept for watches; older ones are forgotten. */
+constexpr std::size_t kMostHistory = 1000;
+
+std::uint64_t RevisionOf(const Json::Value& aObject)
+{
+  const auto& revision = aObject["Metadata"]["Revision"];
+  return revision.isUInt64() ? revision.asUInt64() : 0;
+}
+
+/** Returns a part without the count of renewals, which is no change of its own. */
+Json::Value WithoutSeq(Json::Value aPart)
+{
+  if (aPart.isObject()) {
+    aPart.removeMember("Seq");
+  }
+  return aPart;
+}
+
+/** Returns whether a call's condition names another revision than the object's. */
+bool IsOutdated(std::uint64_t aCondition, const Json::Value& aObject)
+{
+  return aCondition != 0 && aCondition != RevisionOf(aObject);
+}
+
+} // namespace
+
+UsersStore::Outcome UsersStore::List(const std::string& aKind) const
+{
+  const std::lock_guard lock(mMutex);
+  Json::Value page(Json::objectValue);
+  page["Items"] = Json::Value(Json::arrayValue);
+  for (const auto& [key, object] : mObjects) {
+    if (key.first == aKind) {
+      page["Items"].append(object);
+    }
+  }
+  page["HasMore"] = false;
+  page["AsOf"] = Json::UInt64(mRevision);
+  return { kOk, page };
+}
+
+UsersStore::Outcome UsersStore::Get(const Key& aKey) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto found = mObjects.find(aKey);
+  return found == mObjects.end() ? Outcome{ kNotFound, {} } : Outcome{ kOk, found->second };
+}
+
+Json::Value UsersStore::EventsAfter(const std::string& aKind, std::uint64_t aRevision) const
+{
+  Json::Value events(Json::arrayValue);
+  for (const auto& it : mHistory) {
+    if (it.mRevision > aRevision && it.mKind == aKind) {
+      events.append(it.mEvent);
+    }
+  }
+  return events;
+}
+
+UsersStore::Outcome UsersStore::Watch(const std::string& aKind,
+                                      std::uint64_t aRevision,
+                                      std::chrono::milliseconds aWait)
+{
+  const auto end = std::chrono::steady_clock::now() + aWait;
+  std::unique_lock lock(mMutex);
+  mChanged.wait_until(
+    lock, end, [&] { return aRevision < mHistoryFrom || !EventsAfter(aKind, aRevision).empty(); });
+  if (aRevision < mHistoryFrom) {
+    return { kHistoryGone, {} };
+  }
+  Json::Value page(Json::objectValue);
+  page["events"] = EventsAfter(aKind, aRevision);
+  page["AsOf"] = Json::UInt64(mRevision);
+  return { kOk, page };
+}
+
+void UsersStore::Record(const Key& aKey, const Json::Value& aObject, bool aIsDeleted)
+{
+  Json::Value event(Json::objectValue);
+  event["Object"] = aObject;
+  event["Deleted"] = aIsDeleted;
+  mHistory.push_back({ mRevision, aKey.first, event });
+  if (mHistory.size() > kMostHistory) {
+    mHistoryFrom = mHistory.front().mRevision;
+    mHistory.pop_front();
+  }
+  mChanged.notify_all();
+}
+
+Json::Value& UsersStore::Store(const Key& aKey, Json::Value aObject)
+{
+  aObject["Metadata"]["Revision"] = Json::UInt64(++mRevision);
+  auto& stored = mObjects[aKey] = std::move(aObject);
+  Record(aKey, stored, false);
+  return stored;
+}
+
+UsersStore::Outcome UsersStore::Create(const std::string& aKind, const Json::Value& aBody)
+{
+  const std::lock_guard lock(mMutex);
+  const Key key{ aKind, aBody["Metadata"]["Name"].asString() };
+  const auto found = mObjects.find(key);
+  if (found != mObjects.end()) {
+    return { kConflict, found->second };
+  }
+  Json::Value object(Json::objectValue);
+  object["Metadata"]["Name"] = key.second;
+  object["Metadata"]["CreatedRev"] = Json::UInt64(mRevision + 1);
+  object["Spec"] = aBody["Spec"];
+  return { kCreated, Store(key, object) };
+}
+
+UsersStore::Outcome UsersStore::Replace(const Key& aKey,
+                                        const char* aPart,
+                                        const Json::Value& aBody)
+{
+  const std::lock_guard lock(mMutex);
+  const auto found = mObjects.find(aKey);
+  if (found == mObjects.end()) {
+    return { kNotFound, {} };
+  }
+  if (IsOutdated(RevisionOf(aBody), found->second)) {
+    return { kConflict, found->second };
+  }
+  if (WithoutSeq(found->second[aPart]) == WithoutSeq(aBody[aPart])) {
+    return { kOk, found->second };
+  }
+  auto object = found->second;
+  object[aPart] = aBody[aPart];
+  return { kOk, Store(aKey, object) };
+}
+
+UsersStore::Outcome UsersStore::Delete(const Key& aKey, std::uint64_t aRevision)
+{
+  const std::lock_guard lock(mMutex);
+  const auto found = mObjects.find(aKey);
+  if (found == mObjects.end()) {
+    return { kNotFound, {} };
+  }
+  if (IsOutdated(aRevision, found->second)) {
+    return { kConflict, found->second };
+  }
+  auto object = found->second;
+  mObjects.erase(found);
+  object["Metadata"]["Revision"] = Json::UInt64(++mRevision);
+  Record(aKey, object, true);
+  return { kOk, object };
+}
+
+void UsersStore::DropHistory()
+{
+  const std::lock_guard lock(mMutex);
+  mHistory.clear();
+  mHistoryFrom = ++mRevision;
+  mChanged.notify_all();
+}
+
+} // namespace skylarkchute::standins
--- /dev/null
+++ b/standins/users_platform/UsersStoreStandIn.cpp
@@ -0,0 +1,162 @@
+#include "UsersStoreStandIn.h"
+
+#include <Poco/StringTokenizer.h>
+#include <Poco/URI.h>
+
+#include <algorithm>
+
+namespace skylarkchute::standins {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+constexpr const char* kObjects = "/skylarkchute/objects/";
+constexpr const char* kEndpointKind = "servers";
+
+/** An endpoint that was silent for three heartbeats of 500 ms has left. */
+constexpr milliseconds kLapse{ 1500 };
+
+/** Most that a watch waits. */
+constexpr std::uint64_t kMostWaitMs = 30000;
+
+/** Returns a number of the query, zero when it is not there. */
+std::uint64_t QueryNumber(const std::string& aTarget, const std::string& aName)
+{
+  for (const auto& [name, value] : Poco::URI(aTarget).getQueryParameters()) {
+    if (name == aName) {
+      return std::strtoull(value.c_str(), nullptr, 10);
+    }
+  }
+  return 0;
+}
+
+} // namespace
+
+UsersStoreStandIn::UsersStoreStandIn(Options aOptions)
+  : mServer(aOptions.mPort,
+            [this](Request& aRequest, Response& aResponse) { Handle(aRequest, aResponse); })
+{
+  mSwitches["busy"] = false;
+}
+
+UsersStoreStandIn::~UsersStoreStandIn()
+{
+  mStore.DropHistory(); // Ends the watches that wait.
+}
+
+void UsersStoreStandIn::Handle(Request& aRequest, Response& aResponse)
+{
+  if (aRequest.getURI().starts_with("/standin/")) {
+    HandleControl(aRequest, aResponse);
+    return;
+  }
+  {
+    const std::lock_guard lock(mMutex);
+    ++mCalls;
+    if (mSwitches["busy"].asBool()) {
+      Respond(aResponse, kUnavailable, Json::Value(Json::objectValue));
+      return;
+    }
+  }
+  DropLapsed();
+  const auto outcome = Call(aRequest);
+  Respond(aResponse, outcome.mStatus, outcome.mBody);
+}
+
+void UsersStoreStandIn::HandleControl(Request& aRequest, Response& aResponse)
+{
+  const auto& path = aRequest.getURI();
+  if (path == "/standin/history" && aRequest.getMethod() == "DELETE") {
+    mStore.DropHistory();
+    Respond(aResponse, kOk, Json::Value(Json::objectValue));
+    return;
+  }
+  const auto changes = ReadJson(aRequest);
+  const std::lock_guard lock(mMutex);
+  if (path == "/standin/switches") {
+    ApplySwitches(mSwitches, changes);
+    Respond(aResponse, kOk, mSwitches);
+    return;
+  }
+  if (path == "/standin/records") {
+    Json::Value records(Json::objectValue);
+    records["calls"] = Json::UInt64(mCalls);
+    Respond(aResponse, kOk, records);
+    return;
+  }
+  Respond(aResponse, kNotFound, Json::Value(Json::objectValue));
+}
+
+UsersStore::Outcome UsersStoreStandIn::Call(Request& aRequest)
+{
+  const auto path = Poco::URI(aRequest.getURI()).getPath();
+  const auto& method = aRequest.getMethod();
+  if (!path.starts_with(kObjects)) {
+    return { kNotFound, {} };
+  }
+  const Poco::StringTokenizer parts(path.substr(std::string(kObjects).size()), "/");
+  const auto& kind = parts[0];
+  const std::string name = parts.count() > 1 ? parts[1] : "";
+  if (method == "GET") {
+    return Read(kind, name, aRequest);
+  }
+  if (method == "DELETE") {
+    return mStore.Delete({ kind, name }, QueryNumber(aRequest.getURI(), "Revision"));
+  }
+  const auto body = ReadJson(aRequest);
+  if (method == "POST") {
+    NoteRenewal(kind, body["Metadata"]["Name"].asString());
+    return mStore.Create(kind, body);
+  }
+  const bool isStatus = parts.count() > 2 && parts[2] == "status";
+  NoteRenewal(kind, name);
+  return mStore.Replace({ kind, name }, isStatus ? "Status" : "Spec", body);
+}
+
+UsersStore::Outcome UsersStoreStandIn::Read(const std::string& aKind,
+                                            const std::string& aName,
+                                            const Request& aRequest)
+{
+  if (!aName.empty()) {
+    return mStore.Get({ aKind, aName });
+  }
+  const auto& target = aRequest.getURI();
+  const auto wait = std::min(QueryNumber(target, "WaitMs"), kMostWaitMs);
+  const auto from = QueryNumber(target, "Watch");
+  return from > 0 ? mStore.Watch(aKind, from, milliseconds(wait)) : mStore.List(aKind);
+}
+
+void UsersStoreStandIn::NoteRenewal(const std::string& aKind, const std::string& aName)
+{
+  if (aKind == kEndpointKind) {
+    const std::lock_guard lock(mMutex);
+    mRenewed[aName] = std::chrono::steady_clock::now();
+  }
+}
+
+void UsersStoreStandIn::DropLapsed()
+{
+  const auto bound = std::chrono::steady_clock::now() - kLapse;
+  std::vector<std::string> lapsed;
+  {
+    const std::lock_guard lock(mMutex);
+    for (const auto& [name, at] : mRenewed) {
+      if (at < bound) {
+        lapsed.push_back(name);
+      }
+    }
+    for (const auto& it : lapsed) {
+      mRenewed.erase(it);
+    }
+  }
+  for (const auto& it : lapsed) {
+    mStore.Delete({ kEndpointKind, it }, 0);
+  }
+}
+
+} // namespace skylarkchute::standins
