Requests that arrive before the platform's state is read are held for half a second at most

Ruled out: a faster read (its time is the store's), listening later (the same requests find no connection).

They wait in order of arrival, their own time goes on, and after half a second without the state everything is refused at once.

--- a/modules/skylarkchute_relay/requests/RelayContext.h
+++ b/modules/skylarkchute_relay/requests/RelayContext.h
@@ -2,6 +2,7 @@
 
 #include "../endpoints/CrashProbe.h"
 #include "../endpoints/EndpointPool.h"
+#include "StartQueue.h"
 
 #include <boost/asio/io_context.hpp>
 #include <skylarkchute_routing/fleet/Fleet.h>
@@ -15,6 +16,7 @@
   FleetRouter& mRouter;
   EndpointPool& mPool;
   CrashProbe& mCrashProbe;
+  StartQueue& mStartQueue;
   const EventLog& mLog;
   MetricsRegistry& mMetrics;
   const bool& mIsLeaving;  /**< Set once the process was told to stop. */
--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -50,6 +50,7 @@
 
 void RelayedRequest::Start()
 {
+  mArrival = Now();
   auto request = DecodeRequest(mHead);
   if (!request) {
     AnswerOwn(kBadRequest, "the request has no id, host or path", milliseconds(0));
@@ -60,7 +61,20 @@
     return;
   }
   request->mFingerprint = StableHash(*mBody, StableHash(request->mKey, StableHash(mHead.mTarget)));
-  auto admitted = mContext.mRouter.Admit(*request, Now());
+  if (mContext.mStartQueue.Holds()) {
+    mContext.mStartQueue.Hold(
+      [self = shared_from_this(), request = *request] { self->Decide(request); });
+    return;
+  }
+  Decide(std::move(*request));
+}
+
+void RelayedRequest::Decide(RelayRequest aRequest)
+{
+  if (mIsFinished) {
+    return;
+  }
+  auto admitted = mContext.mRouter.Admit(aRequest, mArrival);
   if (const auto* refusal = std::get_if<RelayRefusal>(&admitted)) {
     Refuse(*refusal);
     return;
--- a/modules/skylarkchute_relay/requests/RelayedRequest.h
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.h
@@ -47,6 +47,7 @@
     std::string mBody;
   };
 
+  void Decide(RelayRequest aRequest);
   void StartAttempt(bool aAsksLarger);
   void Launch(AttemptPlan aAttempt);
   void EndAttempt(RelayOutcome aOutcome);
@@ -76,6 +77,7 @@
   std::shared_ptr<ClientConnection> mConnection;
   boost::asio::steady_timer mEndTimer;
   boost::asio::steady_timer mAttemptTimer;
+  TimePoint mArrival{};
   TimePoint mSentAt{};
   bool mWasSent = false;
   bool mHasFirstByte = false;
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -62,12 +62,13 @@
   , mRouter(IncarnationId(mSelf.mIncarnation), mSettings.mZone, mSettings.mBounds, mRandom())
   , mPool(mLoop)
   , mCrashProbe(mLoop, mRouter, mLog)
+  , mStartQueue(mLoop)
   , mSync(mRouter, mPool, mLog)
   , mMirror(
       [this](ObjectKind aKind, const StoreObject& aObject) { mSync.OnObject(aKind, aObject); })
   , mMesh(mLoop, *this, mSelf, mSettings.mSeeds, mRandom())
   , mWriter(mLoop, mSettings.mStoreAddress)
-  , mContext{ mLoop, mRouter, mPool, mCrashProbe, mLog, mMetrics, mIsLeaving, mRefusesNew }
+  , mContext{ mLoop, mRouter, mPool, mCrashProbe, mStartQueue, mLog, mMetrics, mIsLeaving, mRefusesNew }
   , mCallers(mContext)
   , mReady(mLoop, [this](const ControlRequest& aRequest) { return AnswerReady(aRequest); })
   , mPeers(mLoop, [this](const ControlRequest& aRequest) { return AnswerPeer(aRequest); })
@@ -108,6 +109,7 @@
     { &kRelayStarted,
       { { "incarnation", mSelf.mIncarnation }, { "callers", mSettings.mCallerAddress } } });
   WaitForSignal();
+  mStartQueue.Begin();
   for (const auto& it : mWatchers) {
     it->Restart();
   }
@@ -390,6 +392,7 @@
   for (const auto& [kind, snapshot] : aExchange.mSnapshots) {
     mMirror.Replace(kind, snapshot, now);
   }
+  OpenWhenKnown();
   for (const auto& it : aExchange.mEvidence) {
     if (mRouter.Rollouts().OnEvidence(it, now)) {
       mLog.Write({ &kRolloutStopped,
@@ -408,8 +411,17 @@
   mLog.Write({ aIsLive ? &kPeerRegained : &kPeerLost, { { "peer", aName } } });
 }
 
+/** Starts the requests that wait for the first state of the platform once it is there. */
+void RelayRuntime::OpenWhenKnown()
+{
+  if (mRouter.Config() != nullptr && mMirror.IsKnown(ObjectKind::Endpoints)) {
+    mStartQueue.Open();
+  }
+}
+
 void RelayRuntime::OnStoreAnswer(ObjectKind aKind)
 {
+  OpenWhenKnown();
   if (aKind == ObjectKind::Endpoints) {
     mSync.SetStoreServes(true);
   }
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -60,6 +60,7 @@
   void Tick();
   void DetectPause(TimePoint aNow);
   void NoteReady();
+  void OpenWhenKnown();
   void Register();
   void RemoveDeadInstances(TimePoint aNow);
   void DriveRollouts(TimePoint aNow);
@@ -75,6 +76,7 @@
   FleetRouter mRouter;
   EndpointPool mPool;
   CrashProbe mCrashProbe;
+  StartQueue mStartQueue;
   FleetSync mSync;
   StoreMirror mMirror;
   PeerMesh mMesh;
--- a/tests/skylarkchute_relay/CallerTests.cpp
+++ b/tests/skylarkchute_relay/CallerTests.cpp
@@ -46,6 +46,48 @@
   CHECK(request.find("X-Kept: 2") != std::string::npos);
 }
 
+TEST_CASE("a request that arrives before the platform's state is held shortly, then served")
+{
+  RelayFixture relay;
+  const auto config = relay.mRouter.Config();
+  relay.mRouter.SetConfig(nullptr);
+  relay.mStartQueue.Begin();
+  FakeEndpoint endpoint(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(aSocket, SealedAnswer(aRequest, 200, "fine"));
+  });
+  const auto caller = relay.Connect();
+  const auto answer = relay.Gather(caller);
+  relay.Send(caller, CallerRequest("GET", "/check/1", "r1"));
+  relay.RunUntil([end = std::chrono::steady_clock::now() + std::chrono::milliseconds(100)] {
+    return std::chrono::steady_clock::now() >= end;
+  });
+  CHECK(answer->empty());
+  relay.mRouter.SetConfig(config);
+  relay.AddEndpoint("e1", endpoint.Address());
+  relay.mStartQueue.Open();
+  REQUIRE(relay.RunUntil([&] { return answer->find("fine") != std::string::npos; }));
+  // The time that it waited is not given to the endpoint.
+  const auto& sent = endpoint.mRequests.at(0);
+  const auto field = sent.find("Skylarkchute-Deadline-Ms: ");
+  REQUIRE(field != std::string::npos);
+  CHECK(std::stoi(sent.substr(field + 26)) <= 2900);
+}
+
+TEST_CASE("without the platform's state requests are refused in the end, and then at once")
+{
+  RelayFixture relay;
+  relay.mRouter.SetConfig(nullptr);
+  relay.mStartQueue.Begin();
+  for (const auto* id : { "r1", "r2" }) {
+    const auto caller = relay.Connect();
+    const auto answer = relay.Gather(caller);
+    relay.Send(caller, CallerRequest("GET", "/check/1", id));
+    REQUIRE(relay.RunUntil([&] { return answer->find("\r\n\r\n") != std::string::npos; }));
+    CHECK(answer->find("HTTP/1.1 503") == 0);
+  }
+  CHECK_FALSE(relay.mStartQueue.Holds());
+}
+
 TEST_CASE("a connection ends after the answer under way when the process leaves")
 {
   // The head of the stream was sent before the order to stop, without word of the connection's end.
--- a/tests/skylarkchute_relay/RelayFixture.h
+++ b/tests/skylarkchute_relay/RelayFixture.h
@@ -68,8 +68,9 @@
   bool mIsLeaving = false;
   bool mRefusesNew = false;
   CrashProbe mCrashProbe{ mLoop, mRouter, mLog };
+  StartQueue mStartQueue{ mLoop };
   RelayContext mContext{
-    mLoop, mRouter, mPool, mCrashProbe, mLog, mMetrics, mIsLeaving, mRefusesNew
+    mLoop, mRouter, mPool, mCrashProbe, mStartQueue, mLog, mMetrics, mIsLeaving, mRefusesNew
   };
   CallerServer mServer{ mContext };
   std::vector<bool> mEnded; /**< Of the connections gathered from, in order. */
