--- a/app/relay/RelayCommand.cpp
+++ b/app/relay/RelayCommand.cpp
@@ -37,8 +37,8 @@
     return static_cast<int>(ExitCode::Ok);
   }
   options::notify(values);
-  const auto read = [&] { return ReadRelaySettingsFile(file, aErrors); };
-  const auto settings = read();
+  RelaySettingsFile source(file, aErrors);
+  const auto settings = source.Read();
   if (!settings) {
     return static_cast<int>(ExitCode::BadInput);
   }
@@ -46,7 +46,7 @@
     aOut << file << ": settings are valid\n";
     return static_cast<int>(ExitCode::Ok);
   }
-  RelayRuntime runtime(*settings, SecureRandomHex(kIncarnationBytes), read);
+  RelayRuntime runtime(*settings, SecureRandomHex(kIncarnationBytes), source);
   if (!runtime.Run()) {
     aErrors << "skylarkchute relay: an address of [listen] cannot be listened on\n";
     return static_cast<int>(ExitCode::Failed);
--- a/app/settings/RelaySettingsFile.cpp
+++ b/app/settings/RelaySettingsFile.cpp
@@ -33,6 +33,33 @@
     });
 }
 
+RelaySettingsFile::RelaySettingsFile(std::string aFile, std::ostream& aErrors)
+  : mFile(std::move(aFile))
+  , mErrors(aErrors)
+{
+}
+
+std::optional<RelaySettings> RelaySettingsFile::Read()
+{
+  // Taken before the text: a change in between is found by the next look.
+  mRead = CurrentStamp();
+  return ReadRelaySettingsFile(mFile, mErrors);
+}
+
+bool RelaySettingsFile::HasChanged()
+{
+  return CurrentStamp() != mRead;
+}
+
+RelaySettingsFile::Stamp RelaySettingsFile::CurrentStamp() const
+{
+  std::error_code ec;
+  Stamp stamp;
+  stamp.mChanged = std::filesystem::last_write_time(mFile, ec);
+  stamp.mSize = ec ? 0 : std::filesystem::file_size(mFile, ec);
+  return ec ? Stamp{} : stamp;
+}
+
 bool IsRelaySettingsText(const std::string& aText)
 {
   return aText.find("[listen]") != std::string::npos;
--- a/modules/skylarkchute_relay/peers/PeerMesh.cpp
+++ b/modules/skylarkchute_relay/peers/PeerMesh.cpp
@@ -29,7 +29,6 @@
   : mContext(aContext)
   , mOwner(aOwner)
   , mSelf(std::move(aSelf))
-  , mSeeds(std::move(aSeeds))
   , mRandom(static_cast<std::minstd_rand::result_type>(aSeed % 2147483646U + 1))
   , mDispatcher({ kMethod },
                 [this](const std::string&, const std::string& aParams, std::string& aResult) {
@@ -42,6 +41,12 @@
                   return true;
                 })
 {
+  SetSeeds(std::move(aSeeds));
+}
+
+void PeerMesh::SetSeeds(std::vector<std::string> aSeeds)
+{
+  mSeeds = std::move(aSeeds);
   std::erase(mSeeds, mSelf.mPeerAddress);
 }
 
--- a/modules/skylarkchute_relay/peers/PeerMesh.h
+++ b/modules/skylarkchute_relay/peers/PeerMesh.h
@@ -36,6 +36,9 @@
   /** Adds or replaces an instance. */
   void SetPeer(const InstanceEntry& aEntry);
 
+  /** Replaces the addresses to call while no other instance is known. */
+  void SetSeeds(std::vector<std::string> aSeeds);
+
   /** Takes an instance out whose entry is gone. */
   void RemovePeer(const std::string& aName);
 
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -15,6 +15,9 @@
 
 constexpr milliseconds kTick{ 200 };
 
+/** Ticks between two looks at the settings file, which may change without a signal: one second. */
+constexpr std::uint64_t kSettingsTicks = 5;
+
 /** Without a tick for this long the process was paused, and what it knows may be old. */
 constexpr milliseconds kPauseBound{ 1200 };
 
@@ -49,9 +52,9 @@
 
 RelayRuntime::RelayRuntime(RelaySettings aSettings,
                            const std::string& aIncarnation,
-                           ReadSettings aReadSettings)
+                           SettingsSource& aSource)
   : mSettings(std::move(aSettings))
-  , mReadSettings(std::move(aReadSettings))
+  , mSettingsSource(aSource)
   , mSelf{ mSettings.mName,
            MakeIncarnation(InstanceId(mSettings.mName), aIncarnation).Value(),
            mSettings.mPeerAddress,
@@ -68,7 +71,8 @@
       [this](ObjectKind aKind, const StoreObject& aObject) { mSync.OnObject(aKind, aObject); })
   , mMesh(mLoop, *this, mSelf, mSettings.mSeeds, mRandom())
   , mWriter(mLoop, mSettings.mStoreAddress)
-  , mContext{ mLoop, mRouter, mPool, mCrashProbe, mStartQueue, mLog, mMetrics, mIsLeaving, mRefusesNew }
+  , mContext{ mLoop, mRouter,  mPool,      mCrashProbe, mStartQueue,
+              mLog,  mMetrics, mIsLeaving, mRefusesNew }
   , mCallers(mContext)
   , mReady(mLoop, [this](const ControlRequest& aRequest) { return AnswerReady(aRequest); })
   , mPeers(mLoop, [this](const ControlRequest& aRequest) { return AnswerPeer(aRequest); })
@@ -179,12 +183,17 @@
 
 void RelayRuntime::Reload()
 {
-  const auto settings = mReadSettings();
+  const auto settings = mSettingsSource.Read();
   if (!settings) {
     mLog.Write({ &kSettingsRefused, {} });
     return;
   }
+  // Name, addresses and log level stay until the process starts again.
   mSettings.mGrace = settings->mGrace;
+  mSettings.mBounds = settings->mBounds;
+  mSettings.mSeeds = settings->mSeeds;
+  mRouter.SetBounds(mSettings.mBounds);
+  mMesh.SetSeeds(mSettings.mSeeds);
   mLog.Write({ &kSettingsReloaded, {} });
 }
 
@@ -250,6 +259,9 @@
       it->SetInstances(instances);
     }
   }
+  if (mTicks % kSettingsTicks == 0 && mSettingsSource.HasChanged()) {
+    Reload();
+  }
   NoteReady();
   Register();
   DriveRollouts(now);
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -6,7 +6,7 @@
 #include "../store/StoreWatcher.h"
 #include "../store/StoreWriter.h"
 #include "FleetSync.h"
-#include "RelaySettings.h"
+#include "SettingsSource.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -22,13 +22,9 @@
   , public StoreHealthListener
 {
 public:
-  /** Reads the settings again, as after SIGHUP. */
-  using ReadSettings = std::function<std::optional<RelaySettings>()>;
-
-  /** @param aIncarnation  random part, never used before */
-  RelayRuntime(RelaySettings aSettings,
-               const std::string& aIncarnation,
-               ReadSettings aReadSettings);
+  /** @param aIncarnation  random part, never used before
+      @param aSource       read again after SIGHUP and when it has changed; outlives the runtime */
+  RelayRuntime(RelaySettings aSettings, const std::string& aIncarnation, SettingsSource& aSource);
   ~RelayRuntime() override;
 
   /** Serves until the process is told to stop and what was under way has ended.
@@ -67,7 +63,7 @@
   std::size_t RankFor(const std::string& aKey, TimePoint aNow) const;
 
   RelaySettings mSettings;
-  ReadSettings mReadSettings;
+  SettingsSource& mSettingsSource;
   InstanceEntry mSelf;
   EventLog mLog;
   MetricsRegistry mMetrics;
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -68,6 +68,12 @@
 {
 }
 
+void FleetRouter::SetBounds(const FleetBounds& aBounds)
+{
+  mBounds = aBounds;
+  mRollouts.SetBounds(aBounds.mExposure, aBounds.mSession);
+}
+
 ServiceName FleetRouter::ChooseService(const RelayRoute& aRoute)
 {
   if (aRoute.mTargets.size() == 1) {
--- a/modules/skylarkchute_routing/fleet/FleetRouter.h
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.h
@@ -35,6 +35,9 @@
   void SetConfig(std::shared_ptr<const ConfigIndex> aConfig) { mConfig = std::move(aConfig); }
   const std::shared_ptr<const ConfigIndex>& Config() const { return mConfig; }
 
+  /** Puts other bounds in force. */
+  void SetBounds(const FleetBounds& aBounds);
+
   /** Finds route, team and service of a request. */
   std::variant<RequestPlan, RelayRefusal> Admit(const RelayRequest& aRequest, TimePoint aNow);
 
--- a/modules/skylarkchute_routing/fleet/RolloutBook.h
+++ b/modules/skylarkchute_routing/fleet/RolloutBook.h
@@ -64,6 +64,13 @@
       @param aSession  requests of a session follow each other within this time */
   RolloutBook(IncarnationId aSelf, ExposureBound aBound, std::chrono::milliseconds aSession);
 
+  /** Puts other bounds in force, as at the start. */
+  void SetBounds(ExposureBound aBound, std::chrono::milliseconds aSession)
+  {
+    mBound = aBound;
+    mSessionLifetime = aSession;
+  }
+
   /** Takes in the order as the store holds it.
       @param aAge  time since the order if known, else zero */
   void OnOrder(const RolloutOrder& aOrder, TimePoint aNow, std::chrono::milliseconds aAge);
--- /dev/null
+++ b/tests/skylarkchute_app/RelaySettingsTests.cpp
@@ -0,0 +1,95 @@
+#include <app/Commands.h>
+#include <app/check/CheckCommand.h>
+#include <app/settings/RelaySettingsFile.h>
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace skylarkchute;
+
+namespace {
+
+constexpr const char* kValid = R"([instance]
+name = relay-1
+zone = northway
+[listen]
+callers = 127.0.0.1:8080
+ready = 127.0.0.1:8081
+peers = 127.0.0.1:8082
+[platform]
+store = 127.0.0.1:7100
+seeds =
+[retries]
+ratio = 0.2
+slack = 30
+window = 10s
+[rollouts]
+exposed_share = 0.15
+exposed_slack = 30
+[shutdown]
+grace = 10s
+[log]
+level = info
+)";
+
+/** A settings file that is removed in the end. */
+class SettingsFileFixture
+{
+public:
+  SettingsFileFixture() { Write(kValid); }
+  ~SettingsFileFixture()
+  {
+    std::error_code ec;
+    std::filesystem::remove(mFile, ec);
+  }
+
+  void Write(const std::string& aText) const
+  {
+    std::ofstream(mFile, std::ios::binary | std::ios::trunc) << aText;
+  }
+
+  /** Returns the valid text with one part replaced. */
+  static std::string With(const std::string& aPart, const std::string& aOther)
+  {
+    std::string text = kValid;
+    return text.replace(text.find(aPart), aPart.size(), aOther);
+  }
+
+  std::string mFile =
+    (std::filesystem::temp_directory_path() / ("relay-" + SecureRandomHex(8) + ".ini")).string();
+  std::ostringstream mOut;
+  std::ostringstream mErrors;
+};
+
+} // namespace
+
+TEST_CASE("check reads the settings of a relay and names section and key of a fault")
+{
+  SettingsFileFixture it;
+  CHECK(RunCheckCommand({ it.mFile }, it.mOut, it.mErrors) == static_cast<int>(ExitCode::Ok));
+  it.Write(SettingsFileFixture::With("ready = 127.0.0.1:8081", "ready = somewhere"));
+  CHECK(RunCheckCommand({ it.mFile }, it.mOut, it.mErrors) == static_cast<int>(ExitCode::BadInput));
+  CHECK(it.mErrors.str().find("listen") != std::string::npos);
+  CHECK(it.mErrors.str().find("ready") != std::string::npos);
+}
+
+TEST_CASE("a settings file tells that it has changed until it is read")
+{
+  SettingsFileFixture it;
+  RelaySettingsFile file(it.mFile, it.mErrors);
+  REQUIRE(file.Read());
+  CHECK_FALSE(file.HasChanged());
+  it.Write(SettingsFileFixture::With("grace = 10s", "grace = 500ms"));
+  CHECK(file.HasChanged());
+  const auto settings = file.Read();
+  REQUIRE(settings);
+  CHECK(settings->mGrace == std::chrono::milliseconds(500));
+  CHECK_FALSE(file.HasChanged());
+  it.Write(SettingsFileFixture::With("grace = 10s", "grace = soon"));
+  CHECK(file.HasChanged());
+  CHECK_FALSE(file.Read());
+  CHECK_FALSE(file.HasChanged());
+}
