A good version is not stopped for slow answers once all requests have moved to it

Cause: a rollout's slow answers are compared with the older version's, which answers no more in the last quarter of the period; its rate of one in fifty stayed the bound while the newer endpoints read all prompts anew under full load.

Failures count as before. Ruled out: counting slowness by how full the endpoint is (a slow version fills its endpoints and would hide behind it).

--- a/modules/skylarkchute_routing/fleet/RolloutJudge.h
+++ b/modules/skylarkchute_routing/fleet/RolloutJudge.h
@@ -23,7 +23,9 @@
 
     Answers a version that fails or slows down a part of its requests, at once or later. Two
     sequential tests, readable after every answer, compare its failures and its slow answers with
-    those of the older version. */
+    those of the older version. Once the older version answers no more, a load that slows down
+    every version cannot be told from a slow version by comparison: then most answers have to be
+    slow. */
 class RolloutJudge
 {
 public:
@@ -45,6 +47,7 @@
   SequentialTest mFailures;
   SequentialTest mSlow;
   std::uint64_t mNewerAnswers = 0;
+  std::uint64_t mNewerSinceOlder = 0; /**< Answers since the last one of the older version. */
   bool mIsBad = false;
 };
 
--- a/tests/skylarkchute_routing/RolloutBookTests.cpp
+++ b/tests/skylarkchute_routing/RolloutBookTests.cpp
@@ -92,6 +92,28 @@
   CHECK(Step(fleet) == RolloutStep::Complete);
 }
 
+TEST_CASE("rollout: slow answers under full load do not stop a good version that took all requests")
+{
+  // One in fifty is slow in the trial; when all requests have moved, prompts are read anew, and for
+  // a while two in five are slow. A bad version is slow nearly always.
+  for (const bool isBad : { false, true }) {
+    RolloutJudge judge;
+    for (int n = 0; n < 400; ++n) {
+      judge.AddOlder({ 1, 0, n % 50 == 0 ? 1U : 0U });
+      if (n % 4 == 0) {
+        judge.AddNewer({ 1, 0, n % 200 == 0 ? 1U : 0U });
+      }
+    }
+    REQUIRE_FALSE(judge.IsBad());
+    int answers = 0;
+    for (; answers < 300 && !judge.IsBad(); ++answers) {
+      const bool isSlow = answers >= 60 && (isBad ? answers % 20 != 0 : answers % 5 < 2);
+      judge.AddNewer({ 1, 0, isSlow ? 1U : 0U });
+    }
+    CHECK(judge.IsBad() == isBad);
+  }
+}
+
 TEST_CASE("rollout: a version that fails is stopped long before the exposure bound")
 {
   FleetFixture fleet;
