Orders are not lost to endpoints that have too many connections

Cause: an endpoint resets connections beyond its bound, fewer while its queue is long. Seven relays kept up to 16 idle connections each before an endpoint that takes 100, and requests that run once always open a new one, which was reset a round trip after it was made, with the request already sent: the caller got 502.

Idle connections take half of the relay's share of the endpoint's; a new one takes the place of an idle one, and is used after 4 ms without a reset. A reset before that leaves the request unsent, and it goes elsewhere. Ruled out: kept connections for orders (one that ends at that moment puts the order in doubt).

--- a/modules/skylarkchute_relay/endpoints/EndpointPool.cpp
+++ b/modules/skylarkchute_relay/endpoints/EndpointPool.cpp
@@ -15,6 +15,13 @@
 
 constexpr std::size_t kMostIdlePerEndpoint = 16;
 
+/** Part of this instance's share of an endpoint's connections that may be idle; the rest is left to
+    new ones, which are reset beyond the endpoint's bound. */
+constexpr double kIdlePart = 0.5;
+
+/** An endpoint that has too many connections resets a new one within a round trip. */
+constexpr std::chrono::milliseconds kSettleTime{ 4 };
+
 } // namespace
 
 EndpointPool::EndpointPool(boost::asio::io_context& aContext) : mContext(aContext) {}
@@ -23,7 +30,15 @@
 {
   const auto found = mIdle.find({ aAttempt.mEndpoint, aAttempt.mAddress, aAttempt.mBorn });
   const auto now = std::chrono::steady_clock::now();
-  while (!aFresh && found != mIdle.end() && !found->second.empty()) {
+  if (aFresh) {
+    // The new connection takes the place of an idle one.
+    if (found != mIdle.end() && found->second.size() >= MostIdle(aAttempt)) {
+      found->second.front().mConnection->Close();
+      found->second.erase(found->second.begin());
+    }
+    return std::make_shared<ClientConnection>(mContext, kConnectTimeout, kSettleTime);
+  }
+  while (found != mIdle.end() && !found->second.empty()) {
     const auto idle = found->second.back();
     found->second.pop_back();
     if (idle.mUntil > now && idle.mConnection->IsIdle()) {
@@ -34,6 +49,15 @@
   return std::make_shared<ClientConnection>(mContext, kConnectTimeout);
 }
 
+std::size_t EndpointPool::MostIdle(const AttemptPlan& aAttempt)
+{
+  if (aAttempt.mConnections == 0) {
+    return kMostIdlePerEndpoint;
+  }
+  const auto part = static_cast<std::size_t>(kIdlePart * aAttempt.mConnections);
+  return std::clamp<std::size_t>(part, 1, kMostIdlePerEndpoint);
+}
+
 void EndpointPool::Return(const AttemptPlan& aAttempt,
                           const std::shared_ptr<ClientConnection>& aConnection)
 {
@@ -44,7 +68,7 @@
     lifetime =
       std::min<std::chrono::milliseconds>(lifetime, aConnection->IdleTimeout() - kIdleMargin);
   }
-  if (idle.size() >= kMostIdlePerEndpoint || lifetime.count() <= 0) {
+  if (idle.size() >= MostIdle(aAttempt) || lifetime.count() <= 0) {
     aConnection->Close();
     return;
   }
--- a/modules/skylarkchute_relay/endpoints/EndpointPool.h
+++ b/modules/skylarkchute_relay/endpoints/EndpointPool.h
@@ -17,7 +17,9 @@
 
   /** Returns a connection for an attempt.
       @param aFresh  never one that carried a request before: what it may still bring, or its end at
-                     this very moment, would put a request in doubt that cannot be repeated */
+                     this very moment, would put a request in doubt that cannot be repeated. The new
+                     one is used only after the time in which an endpoint that has too many
+                     connections resets it. */
   std::shared_ptr<ClientConnection> Take(const AttemptPlan& aAttempt, bool aFresh);
 
   /** Keeps a connection for later requests. */
@@ -45,6 +47,7 @@
   };
 
   void Forget(const Key& aKey, const ClientConnection* aConnection);
+  static std::size_t MostIdle(const AttemptPlan& aAttempt);
 
   boost::asio::io_context& mContext;
   std::map<Key, std::vector<Idle>> mIdle;
--- a/modules/skylarkchute_relay/net/ClientConnection.cpp
+++ b/modules/skylarkchute_relay/net/ClientConnection.cpp
@@ -46,10 +46,12 @@
 } // namespace
 
 ClientConnection::ClientConnection(asio::io_context& aContext,
-                                   std::chrono::milliseconds aConnectTimeout)
+                                   std::chrono::milliseconds aConnectTimeout,
+                                   std::chrono::milliseconds aSettleTime)
   : mSocket(aContext)
   , mConnectTimer(aContext)
   , mConnectTimeout(aConnectTimeout)
+  , mSettleTime(aSettleTime)
 {
 }
 
@@ -93,7 +95,25 @@
   }
   TuneSocket(mSocket);
   mIsOpen = true;
-  Write();
+  if (mSettleTime.count() > 0) {
+    Settle();
+  } else {
+    Write();
+  }
+}
+
+/** Sends the request after a moment in which the server has not closed the connection. */
+void ClientConnection::Settle()
+{
+  mIsSettling = true;
+  WaitForBytes();
+  mConnectTimer.expires_after(mSettleTime);
+  mConnectTimer.async_wait([self = shared_from_this()](const ErrorCode& aError) {
+    if (!aError && self->mIsOpen && self->mIsSettling) {
+      self->mIsSettling = false;
+      self->Write();
+    }
+  });
 }
 
 void ClientConnection::Write()
@@ -136,6 +156,11 @@
     WaitForBytes();
     return;
   }
+  if (mIsSettling) {
+    mIsSettling = false;
+    Lose(ConnectionLoss::NotConnected);
+    return;
+  }
   if (ec) {
     OnEnd(ec == asio::error::eof);
     return;
--- a/modules/skylarkchute_relay/net/ClientConnection.h
+++ b/modules/skylarkchute_relay/net/ClientConnection.h
@@ -50,8 +50,12 @@
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
 public:
-  /** @param aConnectTimeout  until the connection counts as not made */
-  ClientConnection(boost::asio::io_context& aContext, std::chrono::milliseconds aConnectTimeout);
+  /** @param aConnectTimeout  until the connection counts as not made
+      @param aSettleTime      time in which a new connection must not end before it is used; one
+     that ends counts as not made. Zero for none. */
+  ClientConnection(boost::asio::io_context& aContext,
+                   std::chrono::milliseconds aConnectTimeout,
+                   std::chrono::milliseconds aSettleTime = std::chrono::milliseconds(0));
 
   /** Sends a request; connects first when needed.
       @param aBody      sent after the head; may be null
@@ -78,6 +82,7 @@
   using ErrorCode = boost::system::error_code;
 
   void OnConnected(const ErrorCode& aError);
+  void Settle();
   void Write();
   void WaitForBytes();
   void OnReadable(const ErrorCode& aError);
@@ -90,6 +95,7 @@
   boost::asio::ip::tcp::socket mSocket;
   boost::asio::steady_timer mConnectTimer;
   std::chrono::milliseconds mConnectTimeout;
+  std::chrono::milliseconds mSettleTime;
   std::string mHead;
   std::shared_ptr<const std::string> mBody;
   std::weak_ptr<AnswerListener> mListener;
@@ -99,6 +105,7 @@
   std::chrono::seconds mIdleTimeout{ 0 };
   bool mIsOpen = false;
   bool mIsBusy = false;
+  bool mIsSettling = false;
   bool mIsReading = false;
   bool mIsWriting = false;
   bool mHasChosen = false;
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -172,6 +172,9 @@
     attempt.mSize = aPlan.mSize.value_or(first);
     attempt.mModel = route.mSizes[*attempt.mSize];
   }
+  if (const auto* service = aPlan.mConfig->FindService(aPlan.mService)) {
+    attempt.mConnections = service->mMaxConnections / static_cast<std::uint32_t>(mInstances);
+  }
   attempt.mLatencyKind = KindOf(aPlan, attempt.mSize);
   return attempt;
 }
--- a/modules/skylarkchute_routing/fleet/RelayRequest.h
+++ b/modules/skylarkchute_routing/fleet/RelayRequest.h
@@ -86,6 +86,7 @@
   std::optional<std::size_t> mSize;
   ModelName mModel; /**< Empty when the caller's is passed on. */
   std::uint32_t mPriority = 0;
+  std::uint32_t mConnections = 0; /**< This instance's share of the endpoint's; zero: unknown. */
   LatencyKind mLatencyKind;
 };
 
--- a/tests/skylarkchute_relay/AttemptTests.cpp
+++ b/tests/skylarkchute_relay/AttemptTests.cpp
@@ -122,6 +122,64 @@
   CHECK(answer->find("Retry-After: 0.") != std::string::npos);
 }
 
+TEST_CASE(
+  "an order goes on to another endpoint when its new connection is reset before it was sent")
+{
+  RelayFixture relay;
+  const auto script = [](const std::string& aRequest, const FakeEndpoint::Socket& aSocket) {
+    WriteAll(aSocket, SealedAnswer(aRequest, 200, "done"));
+  };
+  FakeEndpoint first(relay.mLoop, script);
+  FakeEndpoint second(relay.mLoop, script);
+  first.mResetsNew = true;
+  relay.AddEndpoint("e1", first.Address());
+  relay.AddEndpoint("e2", second.Address());
+  for (int n = 0; n < 8; ++n) {
+    const auto caller = relay.Connect();
+    const auto answer = relay.Gather(caller);
+    relay.Send(caller, CallerRequest("POST", "/order/1", "r" + std::to_string(n), "x"));
+    REQUIRE(relay.RunUntil([&] { return answer->find("\r\n\r\n") != std::string::npos; }));
+    CHECK(answer->find("HTTP/1.1 200") == 0);
+  }
+  CHECK(first.mConnections > 0);
+  CHECK(second.mRequests.size() == 8);
+}
+
+TEST_CASE("idle connections leave a part of an endpoint's connections to new ones")
+{
+  RelayFixture relay;
+  std::vector<std::function<void()>> held;
+  FakeEndpoint endpoint(relay.mLoop, [&](const std::string& aRequest, const auto& aSocket) {
+    held.push_back([=] { WriteAll(aSocket, SealedAnswer(aRequest, 200, "done")); });
+  });
+  relay.AddEndpoint("e1", endpoint.Address());
+  std::vector<std::shared_ptr<std::string>> answers;
+  const auto sendTogether = [&](int aCount) {
+    std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> callers;
+    held.clear();
+    answers.clear();
+    for (int n = 0; n < aCount; ++n) {
+      callers.push_back(relay.Connect());
+      answers.push_back(relay.Gather(callers.back()));
+      relay.Send(callers.back(), CallerRequest("GET", "/check/1", "r" + std::to_string(n)));
+    }
+    REQUIRE(relay.RunUntil([&] { return held.size() == static_cast<std::size_t>(aCount); }));
+    for (const auto& it : held) {
+      it();
+    }
+    REQUIRE(relay.RunUntil([&] {
+      return std::all_of(answers.begin(), answers.end(), [](const auto& aAnswer) {
+        return aAnswer->find("done") != std::string::npos;
+      });
+    }));
+  };
+  sendTogether(8);
+  CHECK(endpoint.mConnections == 8);
+  // Of the endpoint's eight connections four were kept, so that four are made anew.
+  sendTogether(8);
+  CHECK(endpoint.mConnections == 12);
+}
+
 TEST_CASE("a caller that leaves ends the attempt at the endpoint")
 {
   RelayFixture relay;
--- a/tests/skylarkchute_relay/RelayFixture.cpp
+++ b/tests/skylarkchute_relay/RelayFixture.cpp
@@ -74,6 +74,12 @@
         return;
       }
       ++mConnections;
+      if (mResetsNew) {
+        aSocket.set_option(asio::socket_base::linger(true, 0));
+        aSocket.close();
+        Accept();
+        return;
+      }
       Read(std::make_shared<asio::ip::tcp::socket>(std::move(aSocket)),
            std::make_shared<std::string>());
       Accept();
@@ -105,6 +111,10 @@
 {
   RelayConfig config;
   config.mVersion = 1;
+  RelayService service;
+  service.mName = ServiceName("svc");
+  service.mMaxConnections = 8;
+  config.mServices = { service };
   config.mRoutes = { Route("chat", RequestKind::Stream, 3),
                      Route("order", RequestKind::NonIdempotent, 1),
                      Route("check", RequestKind::Idempotent, 2) };
--- a/tests/skylarkchute_relay/RelayFixture.h
+++ b/tests/skylarkchute_relay/RelayFixture.h
@@ -28,6 +28,7 @@
   /** Requests received, heads with bodies. */
   std::vector<std::string> mRequests;
   std::size_t mConnections = 0;
+  bool mResetsNew = false; /**< Resets new connections, as one that has too many. */
 
 private:
   void Accept();
@@ -69,9 +70,8 @@
   bool mRefusesNew = false;
   CrashProbe mCrashProbe{ mLoop, mRouter, mLog };
   StartQueue mStartQueue{ mLoop };
-  RelayContext mContext{
-    mLoop, mRouter, mPool, mCrashProbe, mStartQueue, mLog, mMetrics, mIsLeaving, mRefusesNew
-  };
+  RelayContext mContext{ mLoop, mRouter,  mPool,      mCrashProbe, mStartQueue,
+                         mLog,  mMetrics, mIsLeaving, mRefusesNew };
   CallerServer mServer{ mContext };
   std::vector<bool> mEnded; /**< Of the connections gathered from, in order. */
 };
