--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -66,10 +66,10 @@
       [self = shared_from_this(), request = *request] { self->Decide(request); });
     return;
   }
-  Decide(std::move(*request));
+  Decide(*request);
 }
 
-void RelayedRequest::Decide(RelayRequest aRequest)
+void RelayedRequest::Decide(const RelayRequest& aRequest)
 {
   if (mIsFinished) {
     return;
--- a/modules/skylarkchute_relay/requests/RelayedRequest.h
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.h
@@ -47,7 +47,7 @@
     std::string mBody;
   };
 
-  void Decide(RelayRequest aRequest);
+  void Decide(const RelayRequest& aRequest);
   void StartAttempt(bool aAsksLarger);
   void Launch(AttemptPlan aAttempt);
   void EndAttempt(RelayOutcome aOutcome);
--- a/modules/skylarkchute_routing/fleet/EndpointHealth.h
+++ b/modules/skylarkchute_routing/fleet/EndpointHealth.h
@@ -11,8 +11,8 @@
 
     Answers the loads in which an endpoint fails or slows down while its health check is good: only
     the outcomes of attempts count. An endpoint that fails more than the others of its service is
-    left alone for a growing time, until its share of failures has come down again. Requests that may
-    run only once stay away for longer (IsDoubtful): the others find out whether it is back. */
+    left alone for a growing time, until its share of failures has come down again. Requests that
+    may run only once stay away for longer (IsDoubtful): the others find out whether it is back. */
 class EndpointHealth
 {
 public:
