--- a/modules/skylarkchute_core/skylarkchute_core.h
+++ b/modules/skylarkchute_core/skylarkchute_core.h
@@ -12,6 +12,7 @@
 #include "identifiers/Identifier.h"
 #include "identifiers/Identifiers.h"
 #include "identifiers/Incarnation.h"
+#include "identifiers/MemberRecord.h"
 #include "metrics/LatencyHistogram.h"
 #include "metrics/MetricsRegistry.h"
 #include "settings/IniDocument.h"
--- a/modules/skylarkchute_relay/events/RelayEvents.cpp
+++ b/modules/skylarkchute_relay/events/RelayEvents.cpp
@@ -4,12 +4,12 @@
 
 std::vector<const EventDescription*> RelayEvents()
 {
-  return { &kRelayStarted,     &kRelayReady,         &kRelayStopping,       &kRelayStopped,
-           &kSettingsReloaded, &kSettingsRefused,    &kProcessPaused,       &kConfigInForce,
-           &kObjectIgnored,    &kEndpointChanged,    &kRolloutChanged,      &kRolloutStopped,
-           &kStoreLost,        &kStoreRegained,      &kStoreWrite,          &kPeerLost,
-           &kPeerRegained,     &kRelayAttemptFailed, &kRelayRequestRefused, &kAnswerBegun,
-           &kEndpointDown };
+  return { &kRelayStarted,        &kRelayReady,      &kRelayStopping,  &kRelayStopped,
+           &kSettingsReloaded,    &kSettingsRefused, &kProcessPaused,  &kConfigInForce,
+           &kObjectIgnored,       &kEndpointChanged, &kRolloutChanged, &kRolloutStopped,
+           &kStoreLost,           &kStoreRegained,   &kStoreWrite,     &kStoreFollowed,
+           &kStoreNotFollowed,    &kPeerLost,        &kPeerRegained,   &kRelayAttemptFailed,
+           &kRelayRequestRefused, &kAnswerBegun,     &kEndpointDown };
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -90,6 +90,18 @@
   "store-write",
   "A conditional write to the platform's store ended; see its status."
 };
+inline constexpr EventDescription kStoreFollowed{
+  1123,
+  EventLevel::Info,
+  "store-followed",
+  "This instance starts to watch the platform's store and passes changes on to the others."
+};
+inline constexpr EventDescription kStoreNotFollowed{
+  1124,
+  EventLevel::Info,
+  "store-not-followed",
+  "Enough other instances watch the platform's store; this one gets changes from them."
+};
 inline constexpr EventDescription kPeerLost{ 1130,
                                              EventLevel::Warning,
                                              "peer-lost",
--- a/modules/skylarkchute_relay/peers/PeerExchange.cpp
+++ b/modules/skylarkchute_relay/peers/PeerExchange.cpp
@@ -23,27 +23,59 @@
   return counts;
 }
 
-Json::Value SnapshotToJson(const KindSnapshot& aSnapshot)
+Json::Value ChangesToJson(const PackedChanges& aChanges)
 {
   Json::Value value(Json::objectValue);
-  value["as_of"] = Json::UInt64(aSnapshot.mAsOf);
-  value["objects"] = Json::Value(Json::arrayValue);
-  for (const auto& it : aSnapshot.mObjects) {
-    value["objects"].append(it.mText);
-  }
+  value["since"] = Json::UInt64(aChanges.mSince);
+  value["as_of"] = Json::UInt64(aChanges.mAsOf);
+  value["snapshot"] = aChanges.mIsSnapshot;
+  value["deflated"] = aChanges.mIsDeflated;
+  value["objects"] = aChanges.mText;
   return value;
 }
 
-KindSnapshot SnapshotFromJson(const Json::Value& aValue)
+std::shared_ptr<const PackedChanges> ChangesFromJson(const Json::Value& aValue)
+{
+  return std::make_shared<const PackedChanges>(PackedChanges{ JsonCountField(aValue, "since"),
+                                                              JsonCountField(aValue, "as_of"),
+                                                              JsonFlagField(aValue, "snapshot"),
+                                                              JsonFlagField(aValue, "deflated"),
+                                                              JsonTextField(aValue, "objects") });
+}
+
+Json::Value MemberToJson(const MemberUpdate& aMember)
 {
-  KindSnapshot snapshot;
-  snapshot.mAsOf = JsonCountField(aValue, "as_of");
-  for (const auto& it : JsonArrayField(aValue, "objects")) {
-    if (auto object = it.isString() ? DecodeObject(it.asString()) : std::nullopt) {
-      snapshot.mObjects.push_back(std::move(*object));
+  Json::Value value(Json::arrayValue);
+  value.append(aMember.mRecord.mName);
+  value.append(aMember.mRecord.mIncarnation);
+  value.append(aMember.mRecord.mAddress);
+  value.append(aMember.mRecord.mZone);
+  value.append(Json::UInt64(aMember.mVersion));
+  value.append(static_cast<unsigned>(aMember.mState));
+  value.append(static_cast<unsigned>(aMember.mRole));
+  return value;
+}
+
+std::optional<MemberUpdate> MemberFromJson(const Json::Value& aValue)
+{
+  constexpr unsigned kTexts = 4;
+  constexpr unsigned kFields = 7;
+  if (!aValue.isArray() || aValue.size() != kFields || !aValue[4].isUInt64() ||
+      !aValue[5].isUInt() || aValue[5].asUInt() > static_cast<unsigned>(MemberState::Dead) ||
+      !aValue[6].isUInt() || aValue[6].asUInt() > static_cast<unsigned>(StoreRole::Fails)) {
+    return std::nullopt;
+  }
+  for (unsigned n = 0; n < kTexts; ++n) {
+    if (!aValue[n].isString()) {
+      return std::nullopt;
     }
   }
-  return snapshot;
+  return MemberUpdate{
+    { aValue[0].asString(), aValue[1].asString(), aValue[2].asString(), aValue[3].asString() },
+    aValue[4].asUInt64(),
+    static_cast<MemberState>(aValue[5].asUInt()),
+    static_cast<StoreRole>(aValue[6].asUInt())
+  };
 }
 
 Json::Value EvidenceToJson(const RolloutEvidence& aEvidence)
@@ -95,17 +127,31 @@
 std::string EncodeExchange(const PeerExchange& aExchange)
 {
   Json::Value value(Json::objectValue);
-  value["from"]["name"] = aExchange.mFrom.mName;
-  value["from"]["incarnation"] = aExchange.mFrom.mIncarnation;
-  value["from"]["address"] = aExchange.mFrom.mPeerAddress;
-  value["from"]["zone"] = aExchange.mFrom.mZone;
+  const auto& membership = aExchange.mMembership;
+  value["from"] = MemberToJson(membership.mFrom);
+  value["digest"] = Json::UInt64(membership.mDigest);
+  if (membership.mWantsAll) {
+    value["wants_all"] = true;
+  }
+  for (const auto& it : membership.mUpdates) {
+    value["members"].append(MemberToJson(it));
+  }
+  if (aExchange.mConfirmationAge) {
+    value["confirmed_ms"] = Json::Int64(aExchange.mConfirmationAge->count());
+  }
+  if (!aExchange.mProbe.empty()) {
+    value["probe"] = aExchange.mProbe;
+  }
+  for (const auto& it : aExchange.mReached) {
+    value["reached"].append(it);
+  }
   for (const auto& [kind, state] : aExchange.mKinds) {
     auto& pair = value["kinds"][std::string(KindName(kind))];
     pair.append(Json::UInt64(state.mAsOf));
     pair.append(Json::UInt64(state.mDigest));
   }
-  for (const auto& [kind, snapshot] : aExchange.mSnapshots) {
-    value["snapshots"][std::string(KindName(kind))] = SnapshotToJson(snapshot);
+  for (const auto& [kind, changes] : aExchange.mChanges) {
+    value["changes"][std::string(KindName(kind))] = ChangesToJson(*changes);
   }
   for (const auto& it : aExchange.mEvidence) {
     value["evidence"].append(EvidenceToJson(it));
@@ -122,25 +168,38 @@
 std::optional<PeerExchange> DecodeExchange(const std::string& aText)
 {
   const auto value = ReadJsonObject(aText);
-  if (!value || !(*value)["from"].isObject()) {
+  const auto from = value ? MemberFromJson((*value)["from"]) : std::nullopt;
+  if (!from) {
     return std::nullopt;
   }
   PeerExchange exchange;
-  const auto& from = (*value)["from"];
-  exchange.mFrom = { JsonTextField(from, "name"),
-                     JsonTextField(from, "incarnation"),
-                     JsonTextField(from, "address"),
-                     JsonTextField(from, "zone") };
+  exchange.mMembership = {
+    *from, {}, JsonCountField(*value, "digest"), JsonFlagField(*value, "wants_all")
+  };
+  for (const auto& it : JsonArrayField(*value, "members")) {
+    if (const auto member = MemberFromJson(it)) {
+      exchange.mMembership.mUpdates.push_back(*member);
+    }
+  }
+  if ((*value)["confirmed_ms"].isInt64()) {
+    exchange.mConfirmationAge = std::chrono::milliseconds((*value)["confirmed_ms"].asInt64());
+  }
+  exchange.mProbe = JsonTextField(*value, "probe");
+  for (const auto& it : JsonArrayField(*value, "reached")) {
+    if (it.isString()) {
+      exchange.mReached.push_back(it.asString());
+    }
+  }
   const auto& kinds = (*value)["kinds"];
-  const auto& snapshots = (*value)["snapshots"];
+  const auto& changes = (*value)["changes"];
   for (const auto it : kObjectKinds) {
     const std::string name(KindName(it));
     if (kinds.isObject() && kinds[name].isArray() && kinds[name].size() == 2 &&
         kinds[name][0].isUInt64() && kinds[name][1].isUInt64()) {
       exchange.mKinds[it] = { kinds[name][0].asUInt64(), kinds[name][1].asUInt64() };
     }
-    if (snapshots.isObject() && snapshots[name].isObject()) {
-      exchange.mSnapshots[it] = SnapshotFromJson(snapshots[name]);
+    if (changes.isObject() && changes[name].isObject()) {
+      exchange.mChanges[it] = ChangesFromJson(changes[name]);
     }
   }
   for (const auto& it : JsonArrayField(*value, "evidence")) {
--- a/modules/skylarkchute_relay/peers/PeerExchange.h
+++ b/modules/skylarkchute_relay/peers/PeerExchange.h
@@ -1,10 +1,12 @@
 #pragma once
 
-#include "../store/StoreMirror.h"
+#include "PackedChanges.h"
 
+#include <skylarkchute_peers/membership/GossipTypes.h>
 #include <skylarkchute_routing/fleet/Fleet.h>
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -21,9 +23,15 @@
 /** The message that two instances exchange in one call; request and response have the same form. */
 struct PeerExchange
 {
-  InstanceEntry mFrom;
+  MembershipMessage mMembership;
+  /** Time since a follower was last known to hold the store's current state; nothing if unknown. */
+  std::optional<std::chrono::milliseconds> mConfirmationAge;
   std::map<ObjectKind, KindState> mKinds;
-  std::map<ObjectKind, KindSnapshot> mSnapshots; /**< Kinds on which the receiver is behind. */
+  /** What the receiver lacks. Shared, since many receivers lack the same. */
+  std::map<ObjectKind, std::shared_ptr<const PackedChanges>> mChanges;
+  /** Name of a member that did not answer the sender; the receiver is asked to reach it. */
+  std::string mProbe;
+  std::vector<std::string> mReached; /**< Members that the sender has reached for the receiver. */
   std::vector<RolloutEvidence> mEvidence;
   std::vector<CrashSuspects::Crash> mCrashes;
 };
--- a/modules/skylarkchute_relay/peers/PeerMesh.cpp
+++ b/modules/skylarkchute_relay/peers/PeerMesh.cpp
@@ -11,144 +11,229 @@
 constexpr const char* kExchangeMethod = "fleet.exchange";
 constexpr const char* kRpcPath = "/rpc";
 
-/** Instances called at each tick. Two are enough for a change to reach a few hundred instances
-    within a handful of ticks. */
-constexpr std::size_t kCallsPerTick = 2;
-
 constexpr milliseconds kCallTimeout{ 700 };
 
-/** An instance that was not heard from for this long no longer counts as live; several calls have
-    failed by then. */
-constexpr milliseconds kLivenessTimeout{ 5000 };
+/** Limit for a call whose response brings newer objects. */
+constexpr milliseconds kFetchTimeout{ 2000 };
+
+/** Larger changes are not sent along with a request, since the receiver may have them from another
+    instance by then. */
+constexpr std::size_t kMaxRequestBytes = 2048;
+constexpr std::size_t kMaxResponseBytes = static_cast<std::size_t>(-1);
+
+TimePoint Now()
+{
+  return std::chrono::steady_clock::now();
+}
 
 } // namespace
 
 PeerMesh::PeerMesh(boost::asio::io_context& aContext,
                    PeerMeshOwner& aOwner,
-                   InstanceEntry aSelf,
+                   MemberRecord aSelf,
                    std::vector<std::string> aSeeds,
                    std::uint64_t aRandomSeed)
   : mContext(aContext)
   , mOwner(aOwner)
   , mSelf(std::move(aSelf))
-  , mRandom(static_cast<std::minstd_rand::result_type>(aRandomSeed % 2147483646U + 1))
+  , mMembers(mSelf, aRandomSeed)
+  , mSpread(mSelf.mZone, aRandomSeed)
   , mDispatcher({ kExchangeMethod },
                 [this](const std::string&, const std::string& aParams, std::string& aResult) {
                   const auto exchange = DecodeExchange(aParams);
                   if (!exchange) {
                     return false;
                   }
+                  const auto& sender = exchange->mMembership.mFrom.mRecord.mName;
                   HandleExchange(*exchange);
-                  aResult = EncodeExchange(mOwner.MakeExchange(&exchange->mKinds));
+                  aResult = EncodeExchange(MakeResponse(sender, exchange->mKinds));
                   return true;
                 })
 {
   SetSeeds(std::move(aSeeds));
 }
 
-void PeerMesh::SetSeeds(std::vector<std::string> aSeeds)
+void PeerMesh::Introduce(const MemberRecord& aRecord)
 {
-  mSeeds = std::move(aSeeds);
-  std::erase(mSeeds, mSelf.mPeerAddress);
+  mMembers.Introduce(aRecord, Now());
 }
 
-void PeerMesh::SetPeer(const InstanceEntry& aEntry)
+void PeerMesh::Tick(TimePoint aNow)
 {
-  if (aEntry.mName == mSelf.mName) {
-    return;
+  const auto next = mMembers.Tick(aNow);
+  ReportChanges();
+  if (const auto contact = mMembers.ContactToCall(aNow)) {
+    CallSeed(*contact);
   }
-  auto& peer = mPeers[aEntry.mName];
-  if (!peer.mCall || peer.mEntry.mPeerAddress != aEntry.mPeerAddress) {
-    peer.mCall = std::make_shared<HttpCall>(mContext, aEntry.mPeerAddress);
+  if (next) {
+    Call(*next);
   }
-  if (peer.mKnownSince == TimePoint{}) {
-    peer.mKnownSince = std::chrono::steady_clock::now();
+  std::erase_if(mPeers, [this](const auto& aEntry) {
+    return mMembers.Find(aEntry.first) == nullptr && !aEntry.second.mCall->IsBusy();
+  });
+}
+
+void PeerMesh::ReportChanges()
+{
+  for (const auto& it : mMembers.TakeChanges()) {
+    mOwner.OnPeerChanged(it);
   }
-  peer.mEntry = aEntry;
 }
 
-void PeerMesh::RemovePeer(const std::string& aName)
+void PeerMesh::OnPause(TimePoint aNow)
 {
-  const auto found = mPeers.find(aName);
-  if (found != mPeers.end() && !found->second.mIsLive) {
-    found->second.mCall->Cancel();
-    mPeers.erase(found);
+  mMembers.OnPause(aNow);
+  Tick(aNow);
+}
+
+void PeerMesh::SpreadChange(ChangeSpread::Source aSource)
+{
+  for (const auto& it : mSpread.Receivers(mMembers.LiveMembers(), aSource)) {
+    Call(it);
   }
 }
 
-void PeerMesh::Tick(TimePoint aNow)
+/** Returns the calls to a member, or null when it is unknown. */
+PeerMesh::Peer* PeerMesh::PeerFor(const std::string& aName)
 {
-  std::vector<std::string> names;
-  for (auto& [name, peer] : mPeers) {
-    const bool isLive = peer.mLastHeard != TimePoint{} && aNow - peer.mLastHeard < kLivenessTimeout;
-    if (isLive != peer.mIsLive) {
-      peer.mIsLive = isLive;
-      mOwner.OnPeerChanged(name, isLive);
+  const auto* member = mMembers.Find(aName);
+  if (member == nullptr) {
+    return nullptr;
+  }
+  auto& peer = mPeers[aName];
+  if (!peer.mCall || peer.mAddress != member->mRecord.mAddress) {
+    if (peer.mCall) {
+      peer.mCall->Cancel();
+      mSource = mSource == aName ? std::string() : mSource;
     }
-    names.push_back(name);
+    peer.mAddress = member->mRecord.mAddress;
+    peer.mCall = std::make_shared<HttpCall>(mContext, peer.mAddress);
   }
-  if (names.empty()) {
-    CallSeed();
+  return &peer;
+}
+
+void PeerMesh::Call(const std::string& aName)
+{
+  auto* peer = PeerFor(aName);
+  if (peer == nullptr) {
     return;
   }
-  std::shuffle(names.begin(), names.end(), mRandom);
-  names.resize(std::min(names.size(), kCallsPerTick));
-  for (const auto& it : names) {
-    CallPeer(it);
+  if (peer->mCall->IsBusy()) {
+    peer->mCallsAgain = true;
+    return;
   }
+  peer->mCallsAgain = false;
+  auto exchange = MakeRequest(aName, peer->mKinds.empty() ? nullptr : &peer->mKinds);
+  exchange.mProbe = std::exchange(peer->mProbe, {});
+  exchange.mReached.assign(peer->mReached.begin(), peer->mReached.end());
+  peer->mReached.clear();
+  peer->mCall->Start("POST",
+                     kRpcPath,
+                     BuildJsonRpcRequest(kExchangeMethod, EncodeExchange(exchange)),
+                     mSource == aName ? kFetchTimeout : kCallTimeout,
+                     [this, aName](const CallResult& aResult) { OnPeerAnswer(aName, aResult); });
 }
 
-void PeerMesh::CallPeer(const std::string& aName)
+void PeerMesh::CallSeed(const std::string& aAddress)
 {
-  auto& peer = mPeers[aName];
-  if (peer.mCall->IsBusy()) {
+  if (mSeedCall && mSeedCall->IsBusy()) {
     return;
   }
-  const auto params =
-    EncodeExchange(mOwner.MakeExchange(peer.mKinds.empty() ? nullptr : &peer.mKinds));
-  peer.mCall->Start("POST",
-                    kRpcPath,
-                    BuildJsonRpcRequest(kExchangeMethod, params),
-                    kCallTimeout,
-                    [this](const CallResult& aResult) { OnAnswer(aResult); });
+  mSeedCall = std::make_shared<HttpCall>(mContext, aAddress);
+  const auto exchange = MakeRequest({}, nullptr);
+  mSeedCall->Start("POST",
+                   kRpcPath,
+                   BuildJsonRpcRequest(kExchangeMethod, EncodeExchange(exchange)),
+                   kFetchTimeout,
+                   [this](const CallResult& aResult) { HandleAnswer(aResult); });
+}
+
+PeerExchange PeerMesh::MakeRequest(const std::string& aReceiver, const KnownKinds* aKnown)
+{
+  PeerExchange exchange;
+  exchange.mMembership = mMembers.RequestFor(aReceiver, Now());
+  mOwner.FillExchange(exchange, aKnown, kMaxRequestBytes);
+  return exchange;
 }
 
-void PeerMesh::CallSeed()
+PeerExchange PeerMesh::MakeResponse(const std::string& aReceiver, const KnownKinds& aKnown)
 {
-  if (mSeeds.empty() || (mSeedCall && mSeedCall->IsBusy())) {
+  PeerExchange exchange;
+  exchange.mMembership = mMembers.ResponseFor(aReceiver, Now());
+  mOwner.FillExchange(exchange, &aKnown, kMaxResponseBytes);
+  return exchange;
+}
+
+void PeerMesh::OnPeerAnswer(const std::string& aName, const CallResult& aResult)
+{
+  const bool isAnswered = HandleAnswer(aResult);
+  if (mSource == aName) {
+    mSource.clear();
+  }
+  const auto found = mPeers.find(aName);
+  if (found == mPeers.end()) {
     return;
   }
-  mSeedCall = std::make_shared<HttpCall>(mContext, mSeeds[mNextSeedIndex++ % mSeeds.size()]);
-  mSeedCall->Start(
-    "POST",
-    kRpcPath,
-    BuildJsonRpcRequest(kExchangeMethod, EncodeExchange(mOwner.MakeExchange(nullptr))),
-    kCallTimeout,
-    [this](const CallResult& aResult) { OnAnswer(aResult); });
+  if (!isAnswered) {
+    ProbeThroughOthers(aName);
+  } else {
+    for (const auto& it : std::exchange(found->second.mRequesters, {})) {
+      if (auto* requester = PeerFor(it)) {
+        requester->mReached.insert(aName);
+        Call(it);
+      }
+    }
+  }
+  found->second.mRequesters.clear();
+  if (found->second.mCallsAgain && isAnswered) {
+    Call(aName);
+  }
 }
 
-void PeerMesh::OnAnswer(const CallResult& aResult)
+void PeerMesh::ProbeThroughOthers(const std::string& aName)
 {
-  if (!aResult.mHasResponse) {
-    return;
+  for (const auto& it : mMembers.OnProbeFailed(aName)) {
+    if (auto* helper = PeerFor(it)) {
+      helper->mProbe = aName;
+      Call(it);
+    }
   }
-  const auto answer = ReadJsonRpcResponse(aResult.mBody);
+}
+
+/** @returns whether the call has a valid answer */
+bool PeerMesh::HandleAnswer(const CallResult& aResult)
+{
+  const auto answer = aResult.mHasResponse ? ReadJsonRpcResponse(aResult.mBody) : JsonRpcResult{};
   const auto exchange = answer.mOk ? DecodeExchange(answer.mResult) : std::nullopt;
   if (exchange) {
     HandleExchange(*exchange);
   }
+  return exchange.has_value();
 }
 
 void PeerMesh::HandleExchange(const PeerExchange& aExchange)
 {
-  if (aExchange.mFrom.mName == mSelf.mName) {
+  const auto& name = aExchange.mMembership.mFrom.mRecord.mName;
+  if (name == mSelf.mName) {
     return;
   }
-  SetPeer(aExchange.mFrom);
-  auto& peer = mPeers[aExchange.mFrom.mName];
-  peer.mLastHeard = std::chrono::steady_clock::now();
-  peer.mKinds = aExchange.mKinds;
+  const auto now = Now();
+  mMembers.OnMessage(aExchange.mMembership, now);
+  for (const auto& it : aExchange.mReached) {
+    mMembers.OnReached(it, now);
+  }
+  ReportChanges();
+  auto* peer = PeerFor(name);
+  peer->mKinds = aExchange.mKinds;
   mOwner.OnExchange(aExchange);
+  if (auto* target = aExchange.mProbe.empty() ? nullptr : PeerFor(aExchange.mProbe)) {
+    target->mRequesters.insert(name);
+    Call(aExchange.mProbe);
+  }
+  if (mSource.empty() && mOwner.IsBehind(aExchange.mKinds)) {
+    mSource = name;
+    Call(name);
+  }
 }
 
 std::string PeerMesh::Serve(const std::string& aRequest)
@@ -156,26 +241,4 @@
   return mDispatcher.Serve(aRequest);
 }
 
-std::vector<InstanceId> PeerMesh::LivePeers(TimePoint aNow) const
-{
-  std::vector<InstanceId> live;
-  for (const auto& [name, peer] : mPeers) {
-    if (peer.mLastHeard != TimePoint{} && aNow - peer.mLastHeard < kLivenessTimeout) {
-      live.emplace_back(name);
-    }
-  }
-  return live;
-}
-
-std::vector<std::string> PeerMesh::PeersSilentFor(milliseconds aTime, TimePoint aNow) const
-{
-  std::vector<std::string> silent;
-  for (const auto& [name, peer] : mPeers) {
-    if (aNow - std::max(peer.mLastHeard, peer.mKnownSince) >= aTime) {
-      silent.push_back(name);
-    }
-  }
-  return silent;
-}
-
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/peers/PeerMesh.h
+++ b/modules/skylarkchute_relay/peers/PeerMesh.h
@@ -3,28 +3,42 @@
 #include "../net/HttpCall.h"
 #include "PeerExchange.h"
 
+#include <skylarkchute_peers/following/ChangeSpread.h>
+#include <skylarkchute_peers/membership/GossipMembership.h>
 #include <skylarkchute_peers/rpc/JsonRpc.h>
 
-#include <random>
+#include <set>
 
 namespace skylarkchute {
 
+/** What an instance last reported of its copies of the objects. */
+using KnownKinds = std::map<ObjectKind, KindState>;
+
 /** Callbacks of the mesh to its owner. */
 class PeerMeshOwner
 {
 public:
   virtual ~PeerMeshOwner() = default;
 
-  /** Returns the message to send to an instance.
-      @param aKnown  the state that the receiver last reported, or null when it is unknown */
-  virtual PeerExchange MakeExchange(const std::map<ObjectKind, KindState>* aKnown) = 0;
+  /** Fills in what is sent to an instance, except for the membership.
+      @param aKnown      what the receiver last reported, or null when it is unknown
+      @param aMaxBytes   limit on the changes of each kind; larger ones are left out, and the
+     receiver asks for them */
+  virtual void FillExchange(PeerExchange& aExchange,
+                            const KnownKinds* aKnown,
+                            std::size_t aMaxBytes) = 0;
+
   virtual void OnExchange(const PeerExchange& aExchange) = 0;
-  virtual void OnPeerChanged(const std::string& aName, bool aIsLive) = 0;
+
+  /** Returns whether an instance's copies are newer than those of this one. */
+  virtual bool IsBehind(const KnownKinds& aKinds) const = 0;
+
+  virtual void OnPeerChanged(const MemberChange& aChange) = 0;
 };
 
-/** Gossip between the instances of this system: each one regularly calls a few others, chosen at
-    random, by JSON-RPC, and caller and callee exchange their state. An instance is live while it
-    answers or calls. */
+/** Calls between the instances of this system, by JSON-RPC. Caller and callee exchange their state
+    in each call. Regular calls probe the other instances and carry what these have missed; a change
+    is told to a few at once, and those that lack it ask for it. */
 class PeerMesh
 {
 public:
@@ -32,59 +46,70 @@
       @param aRandomSeed  seed of the random choice of instances to call */
   PeerMesh(boost::asio::io_context& aContext,
            PeerMeshOwner& aOwner,
-           InstanceEntry aSelf,
+           MemberRecord aSelf,
            std::vector<std::string> aSeeds,
            std::uint64_t aRandomSeed);
 
-  /** Adds or replaces an instance. */
-  void SetPeer(const InstanceEntry& aEntry);
-
-  /** Replaces the addresses to call while no other instance is known. */
-  void SetSeeds(std::vector<std::string> aSeeds);
+  /** Adds an instance that the store lists. */
+  void Introduce(const MemberRecord& aRecord);
 
-  /** Removes an instance whose store entry is gone, unless it is still live. */
-  void RemovePeer(const std::string& aName);
+  /** Replaces the addresses to contact at the start and while no other instance is known. */
+  void SetSeeds(std::vector<std::string> aSeeds) { mMembers.SetContacts(std::move(aSeeds)); }
 
-  /** Updates which instances are live and calls a few of them, or a seed when none is known. To be
-      called every kInterval. */
+  /** Calls the next instance, and a seed that is not known to be one. To be called every kInterval.
+   */
   void Tick(TimePoint aNow);
 
+  /** Calls an instance, now or after the call in progress. */
+  void Call(const std::string& aName);
+
+  /** Tells a few instances of a change of the objects. */
+  void SpreadChange(ChangeSpread::Source aSource);
+
+  /** Discards what was expected of other instances before this process was paused, and calls one.
+   */
+  void OnPause(TimePoint aNow);
+
   /** Returns the JSON-RPC response to a call of another instance. */
   std::string Serve(const std::string& aRequest);
 
-  /** Returns the live instances, without this one. */
-  std::vector<InstanceId> LivePeers(TimePoint aNow) const;
-
-  /** Returns the names of the instances that were not heard from for at least @p aTime. */
-  std::vector<std::string> PeersSilentFor(std::chrono::milliseconds aTime, TimePoint aNow) const;
+  GossipMembership& Members() { return mMembers; }
+  const GossipMembership& Members() const { return mMembers; }
 
   /** Time between two calls of Tick. */
-  static constexpr std::chrono::milliseconds kInterval{ 400 };
+  static constexpr std::chrono::milliseconds kInterval = GossipMembership::kTickInterval;
 
 private:
+  /** State of the calls to one instance. */
   struct Peer
   {
-    InstanceEntry mEntry;
+    std::string mAddress;
     std::shared_ptr<HttpCall> mCall;
-    TimePoint mKnownSince{};
-    TimePoint mLastHeard{};
-    std::map<ObjectKind, KindState> mKinds;
-    bool mIsLive = false;
+    KnownKinds mKinds;
+    bool mCallsAgain = false;       /**< Something new has to be sent after the call in progress. */
+    std::string mProbe;             /**< As in PeerExchange, for the next call. */
+    std::set<std::string> mReached; /**< As in PeerExchange, for the next call. */
+    std::set<std::string> mRequesters; /**< Who asked this instance to reach the peer. */
   };
 
-  void CallPeer(const std::string& aName);
-  void CallSeed();
+  Peer* PeerFor(const std::string& aName);
+  void CallSeed(const std::string& aAddress);
+  PeerExchange MakeRequest(const std::string& aReceiver, const KnownKinds* aKnown);
+  PeerExchange MakeResponse(const std::string& aReceiver, const KnownKinds& aKnown);
   void HandleExchange(const PeerExchange& aExchange);
-  void OnAnswer(const CallResult& aResult);
+  void OnPeerAnswer(const std::string& aName, const CallResult& aResult);
+  bool HandleAnswer(const CallResult& aResult);
+  void ProbeThroughOthers(const std::string& aName);
+  void ReportChanges();
 
   boost::asio::io_context& mContext;
   PeerMeshOwner& mOwner;
-  InstanceEntry mSelf;
-  std::vector<std::string> mSeeds;
-  std::size_t mNextSeedIndex = 0;
+  MemberRecord mSelf;
   std::shared_ptr<HttpCall> mSeedCall;
+  GossipMembership mMembers;
+  ChangeSpread mSpread;
   std::map<std::string, Peer> mPeers;
-  std::minstd_rand mRandom;
+  std::string mSource; /**< Instance from which newer objects are being fetched; may be empty. */
   JsonRpcDispatcher mDispatcher;
 };
 
--- a/modules/skylarkchute_relay/runtime/FleetSync.cpp
+++ b/modules/skylarkchute_relay/runtime/FleetSync.cpp
@@ -91,7 +91,7 @@
     LogIgnored(ObjectKind::Endpoints, aObject);
   }
   if (!endpoint) {
-    const bool mayReturn = aObject.mIsDeleted && !mIsStoreAvailable;
+    const bool mayReturn = aObject.mIsDeleted && aObject.mMayHaveLapsed;
     mRouter.Endpoints().Remove(id, mayReturn, Now());
     if (!mayReturn) {
       mPool.CloseIdleConnections(id);
@@ -129,10 +129,8 @@
   if (mMesh == nullptr) {
     return;
   }
-  if (aObject.mIsDeleted) {
-    mMesh->RemovePeer(aObject.mName);
-  } else if (const auto entry = DecodeInstance(aObject)) {
-    mMesh->SetPeer(*entry);
+  if (const auto entry = aObject.mIsDeleted ? std::nullopt : DecodeInstance(aObject)) {
+    mMesh->Introduce(*entry);
   }
 }
 
--- a/modules/skylarkchute_relay/runtime/FleetSync.h
+++ b/modules/skylarkchute_relay/runtime/FleetSync.h
@@ -16,15 +16,11 @@
   /** Sets the mesh that gets the instances; null for none. */
   void SetMesh(PeerMesh* aMesh) { mMesh = aMesh; }
 
-  /** Applies one object that changed or was removed. */
+  /** Applies one object that changed or was removed. An endpoint whose entry may have lapsed in an
+      outage of the store is kept for FleetTable::kReregistrationPeriod; any other one that is
+      removed has left and is dropped at once. */
   void OnObject(ObjectKind aKind, const StoreObject& aObject);
 
-  /** Sets whether the store is available to this instance. An endpoint that is missing from the
-      first list after an outage may only have lost its entry in the outage, so it is kept for
-      FleetTable::kReregistrationPeriod; one that is removed later has left and is dropped at
-      once. */
-  void SetStoreAvailable(bool aIsAvailable) { mIsStoreAvailable = aIsAvailable; }
-
 private:
   void OnConfig(const StoreObject& aObject);
   void OnEndpoint(const StoreObject& aObject);
@@ -36,7 +32,6 @@
   EndpointPool& mPool;
   const EventLog& mLog;
   PeerMesh* mMesh = nullptr;
-  bool mIsStoreAvailable = true;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -30,18 +30,18 @@
 /** Fraction of the grace period after which the process exits even if requests are in progress. */
 constexpr double kGraceFraction = 0.96;
 
-/** Another instance that is behind gets this instance's objects of a kind only once these have been
-    unchanged for this long. */
-constexpr milliseconds kForwardDelay{ 300 };
-
-/** The store entry of an instance that was not heard from for this long is deleted. */
+/** The store entry of an instance that has been dead for this long is deleted. */
 constexpr milliseconds kDeadInstanceTimeout{ 20000 };
 
 /** Delay between the instances that may record a rollout step, in the order of their ranks, so that
     usually only the first one writes. */
 constexpr milliseconds kRankDelay{ 500 };
 
-constexpr milliseconds kRegisterRetryInterval{ 1000 };
+/** A conditional write is not repeated before the change had time to come back from the store. */
+constexpr milliseconds kWriteInterval{ 2000 };
+
+/** Without a confirmation for this long, entries may have expired in an outage of the store. */
+constexpr milliseconds kOutageAge{ 1500 };
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
@@ -52,6 +52,14 @@
   return std::chrono::steady_clock::now();
 }
 
+/** Returns whether starting instances contact this one, or it has no other one to contact. */
+bool IsContact(const RelaySettings& aSettings)
+{
+  const auto& seeds = aSettings.mSeeds;
+  return seeds.empty() ||
+         std::find(seeds.begin(), seeds.end(), aSettings.mPeerAddress) != seeds.end();
+}
+
 } // namespace
 
 RelayRuntime::RelayRuntime(RelaySettings aSettings,
@@ -74,6 +82,7 @@
   , mMirror(
       [this](ObjectKind aKind, const StoreObject& aObject) { mSync.OnObject(aKind, aObject); })
   , mMesh(mLoop, *this, mSelf, mSettings.mSeeds, mRandom())
+  , mFollowing(mSelf, IsContact(mSettings), mRandom(), Now())
   , mWriter(mLoop, mSettings.mStoreAddress)
   , mContext{ mLoop, mRouter,  mPool,      mCrashProbe, mStartupQueue,
               mLog,  mMetrics, mIsLeaving, mRefusesNew }
@@ -119,10 +128,9 @@
       { { "incarnation", mSelf.mIncarnation }, { "callers", mSettings.mCallerAddress } } });
   WaitForSignal();
   mStartupQueue.StartHolding();
-  for (const auto& it : mWatchers) {
-    it->Restart();
-  }
   mLastTick = Now();
+  UpdateStoreRole(mLastTick);
+  mMesh.Tick(mLastTick);
   ScheduleTick();
   mLoop.run();
   mLog.Write({ &kRelayStopped, {} });
@@ -151,8 +159,14 @@
 ControlResponse RelayRuntime::AnswerStatus()
 {
   const auto now = Now();
-  const RelayStatusSource source{ mSelf,     mRouter,   mMirror, mFailedKinds, mMesh.LivePeers(now),
-                                  IsReady(), mIsLeaving };
+  RelayStatusSource source{ mSelf, mRouter, mMirror, mFailedKinds };
+  for (const auto* it : mMesh.Members().LiveMembers()) {
+    source.mPeers.emplace_back(it->mRecord.mName);
+  }
+  source.mStoreRole = mMesh.Members().Role();
+  source.mConfirmationAge = mFollowing.ConfirmationAge(now);
+  source.mIsReady = IsReady();
+  source.mIsLeaving = mIsLeaving;
   return { kOk, "application/json", WriteJson(RelayStatusDocument(source, now)) };
 }
 
@@ -258,19 +272,47 @@
   mPool.CloseExpired(now);
   if (mTickCount % static_cast<std::uint64_t>(PeerMesh::kInterval / kTickInterval) == 0) {
     mMesh.Tick(now);
-    const auto instances = mMesh.LivePeers(now).size() + 1;
-    mRouter.SetInstances(instances);
-    for (const auto& it : mWatchers) {
-      it->SetInstances(instances);
+    for (const auto& it : mFollowing.FollowersToCall(mMesh.Members().LiveMembers())) {
+      mMesh.Call(it);
     }
+    mRouter.SetInstances(mMesh.Members().LiveCount());
   }
+  UpdateStoreRole(now);
   if (mTickCount % kSettingsCheckTicks == 0 && mSettingsSource.HasChanged()) {
     Reload();
   }
   UpdateReadiness();
-  Register();
   AdvanceRollouts(now);
-  RemoveDeadInstances(now);
+  if (mMesh.Members().Role() == StoreRole::Follows) {
+    Register();
+    RemoveDeadInstances(now);
+  }
+}
+
+/** Starts or stops watching the store as mFollowing decides. */
+void RelayRuntime::UpdateStoreRole(TimePoint aNow)
+{
+  const bool wasFollowing = mMesh.Members().Role() != StoreRole::None;
+  const bool isServed = mFailedKinds.empty() && mServedKinds.size() == std::size(kObjectKinds);
+  if (wasFollowing && (isServed || !mFailedKinds.empty())) {
+    mFollowing.OnStoreResult(isServed, aNow);
+  }
+  const auto role = mFollowing.Decide(mMesh.Members().LiveMembers(), aNow);
+  mMesh.Members().SetRole(role);
+  const bool isFollowing = role != StoreRole::None;
+  if (isFollowing == wasFollowing) {
+    return;
+  }
+  mLog.Write({ isFollowing ? &kStoreFollowed : &kStoreNotFollowed, {} });
+  mFailedKinds.clear();
+  mServedKinds.clear();
+  for (const auto& it : mWatchers) {
+    if (isFollowing) {
+      it->Restart();
+    } else {
+      it->Stop();
+    }
+  }
 }
 
 void RelayRuntime::DetectPause(TimePoint aNow)
@@ -283,9 +325,13 @@
   mLog.Write(
     { &kProcessPaused,
       { { "gap_ms", std::to_string(std::chrono::duration_cast<milliseconds>(gap).count()) } } });
-  for (const auto& it : mWatchers) {
-    it->Restart();
+  if (mMesh.Members().Role() != StoreRole::None) {
+    for (const auto& it : mWatchers) {
+      it->Restart();
+    }
   }
+  mFollowing.OnPause(aNow);
+  mMesh.OnPause(aNow);
 }
 
 void RelayRuntime::UpdateReadiness()
@@ -298,19 +344,28 @@
   mWasReady = ready;
 }
 
-/** Creates or replaces this instance's entry in the store unless it names this incarnation. */
-void RelayRuntime::Register()
+/** Returns whether a conditional write to an object may be made now, and counts it as made. */
+bool RelayRuntime::MayWrite(const std::string& aObject, TimePoint aNow)
 {
-  const auto now = Now();
-  if (!mMirror.IsKnown(ObjectKind::Instances) || now < mNextRegisterAt) {
-    return;
+  auto& next = mNextWriteAt[aObject];
+  if (aNow < next) {
+    return false;
   }
+  next = aNow + kWriteInterval;
+  return true;
+}
+
+/** Creates or replaces this instance's entry in the store unless it names this incarnation. Only
+    followers have an entry: it shows instances that start, and groups that were cut off from each
+    other, whom to contact. */
+void RelayRuntime::Register()
+{
   const auto* known = mMirror.Find(ObjectKind::Instances, mSelf.mName);
   const auto entry = known != nullptr ? DecodeInstance(*known) : std::nullopt;
-  if (entry && entry->mIncarnation == mSelf.mIncarnation) {
+  if ((entry && entry->mIncarnation == mSelf.mIncarnation) ||
+      !MayWrite("instance " + mSelf.mName, Now())) {
     return;
   }
-  mNextRegisterAt = now + kRegisterRetryInterval;
   const bool isNew = known == nullptr;
   const auto target = isNew ? ListTarget(ObjectKind::Instances, {})
                             : ObjectTarget(ObjectKind::Instances, mSelf.mName);
@@ -324,28 +379,47 @@
     });
 }
 
-std::size_t RelayRuntime::RankFor(const std::string& aKey, TimePoint aNow) const
+/** Returns this instance's place among those that may write for a key: the followers that the store
+    serves, or all if there are none. */
+std::size_t RelayRuntime::RankFor(const std::string& aKey) const
 {
-  auto members = mMesh.LivePeers(aNow);
-  members.emplace_back(mSelf.mName);
+  const auto live = mMesh.Members().LiveMembers();
+  const auto follows = [](const MemberUpdate* aMember) {
+    return aMember->mRole == StoreRole::Follows && aMember->mState == MemberState::Alive;
+  };
+  const bool isFollowing = mMesh.Members().Role() == StoreRole::Follows;
+  const bool haveFollowers = isFollowing || std::any_of(live.begin(), live.end(), follows);
+  std::vector<InstanceId> members;
+  for (const auto* it : live) {
+    if (!haveFollowers || follows(it)) {
+      members.emplace_back(it->mRecord.mName);
+    }
+  }
+  const InstanceId self(mSelf.mName);
+  if (!haveFollowers || isFollowing) {
+    members.push_back(self);
+  }
   const auto order = RendezvousOrder(aKey, members, members.size());
-  const auto found = std::find(order.begin(), order.end(), InstanceId(mSelf.mName));
-  return static_cast<std::size_t>(found - order.begin());
+  return static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
 }
 
 void RelayRuntime::RemoveDeadInstances(TimePoint aNow)
 {
-  for (const auto& it : mMesh.PeersSilentFor(kDeadInstanceTimeout, aNow)) {
-    const auto* entry = mMirror.Find(ObjectKind::Instances, it);
-    if (entry == nullptr) {
-      mMesh.RemovePeer(it);
-    } else if (RankFor("remove " + it, aNow) == 0 && mFailedKinds.empty()) {
-      mWriter.Write("DELETE",
-                    ObjectTarget(ObjectKind::Instances, it) +
-                      "?Revision=" + std::to_string(entry->mRevision),
-                    {},
-                    [](const CallResult&) {});
+  for (const auto& it : mMirror.Snapshot(ObjectKind::Instances).mObjects) {
+    const auto& name = it.mName;
+    if (!mMesh.Members().IsDeadFor(name, kDeadInstanceTimeout, aNow) ||
+        RankFor("remove " + name) != 0 || !MayWrite("instance " + name, aNow)) {
+      continue;
     }
+    mWriter.Write("DELETE",
+                  ObjectTarget(ObjectKind::Instances, name) +
+                    "?Revision=" + std::to_string(it.mRevision),
+                  {},
+                  [this, name](const CallResult& aResult) {
+                    mLog.Write({ &kStoreWrite,
+                                 { { "object", "dead instance " + name },
+                                   { "status", std::to_string(aResult.mStatus) } } });
+                  });
   }
 }
 
@@ -354,13 +428,14 @@
   for (const auto& it : mRouter.Rollouts().Services()) {
     const auto step = mRouter.Rollouts().NextStep(it, aNow);
     if (step == RolloutStep::None) {
+      mStepSince.erase(it);
       continue;
     }
     const auto* order = mRouter.Rollouts().Order(it);
-    const auto rank = RankFor("rollout " + it.Value(), aNow);
-    const auto delayTicks = static_cast<std::uint64_t>(kRankDelay / kTickInterval) * rank;
+    const auto since = mStepSince.try_emplace(it, aNow).first->second;
+    const auto rank = static_cast<std::int64_t>(RankFor("rollout " + it.Value()));
     // An instance of a higher rank writes only if those before it have not recorded the step.
-    if (mTickCount % (delayTicks + 1) != delayTicks) {
+    if (aNow - since < kRankDelay * rank || !MayWrite("rollout " + it.Value(), aNow)) {
       continue;
     }
     const auto state =
@@ -377,45 +452,110 @@
   }
 }
 
-PeerExchange RelayRuntime::MakeExchange(const std::map<ObjectKind, KindState>* aKnown)
+void RelayRuntime::FillExchange(PeerExchange& aExchange,
+                                const KnownKinds* aKnown,
+                                std::size_t aMaxBytes)
 {
   const auto now = Now();
-  PeerExchange exchange;
-  exchange.mFrom = mSelf;
+  aExchange.mConfirmationAge = mFollowing.ConfirmationAge(now);
   for (const auto kind : kObjectKinds) {
     if (!mMirror.IsKnown(kind)) {
       continue;
     }
-    const KindState own{ mMirror.AsOf(kind), mMirror.Digest(kind) };
-    exchange.mKinds[kind] = own;
-    if (aKnown == nullptr || now - mMirror.ChangedAt(kind) < kForwardDelay) {
-      continue;
-    }
-    const auto theirs = aKnown->find(kind);
-    const bool isBehind = theirs == aKnown->end() || (theirs->second.mDigest != own.mDigest &&
-                                                      theirs->second.mAsOf < own.mAsOf);
-    if (isBehind) {
-      exchange.mSnapshots[kind] = mMirror.Snapshot(kind);
+    aExchange.mKinds[kind] = { mMirror.AsOf(kind), mMirror.Digest(kind) };
+    const auto found = aKnown == nullptr ? KnownKinds::const_iterator() : aKnown->find(kind);
+    const auto* theirs = aKnown == nullptr || found == aKnown->end() ? nullptr : &found->second;
+    // An instance of which nothing is known may hold everything; it asks for what it lacks.
+    const bool mayNeedNothing = aKnown == nullptr;
+    const auto changes = mayNeedNothing ? nullptr : ChangesFor(kind, theirs);
+    if (changes && changes->mText.size() <= aMaxBytes) {
+      aExchange.mChanges[kind] = changes;
     }
   }
-  exchange.mEvidence = mRouter.Rollouts().Evidence(now);
-  exchange.mCrashes = mRouter.Suspects().Recent(now);
-  return exchange;
+  aExchange.mEvidence = mRouter.Rollouts().Evidence(now);
+  aExchange.mCrashes = mRouter.Suspects().Recent(now);
+}
+
+/** Returns what an instance lacks of a kind, or null when it lacks nothing.
+    @param aKnown  what it last reported; null when it holds nothing or is unknown */
+std::shared_ptr<const PackedChanges> RelayRuntime::ChangesFor(ObjectKind aKind,
+                                                              const KindState* aKnown)
+{
+  const auto asOf = mMirror.AsOf(aKind);
+  if (aKnown != nullptr && (aKnown->mDigest == mMirror.Digest(aKind) || aKnown->mAsOf >= asOf)) {
+    return nullptr;
+  }
+  const auto changes =
+    aKnown == nullptr ? std::nullopt : mMirror.ChangesSince(aKind, aKnown->mAsOf);
+  auto& packed = mPacked[{ aKind, changes.has_value() }];
+  const bool isCached =
+    packed && packed->mAsOf == asOf && (!changes || packed->mSince == changes->mSince);
+  if (!isCached) {
+    packed = std::make_shared<const PackedChanges>(changes ? PackChanges(*changes)
+                                                           : PackSnapshot(mMirror.Snapshot(aKind)));
+  }
+  return packed;
+}
+
+bool RelayRuntime::IsBehind(const KnownKinds& aKinds) const
+{
+  return std::any_of(aKinds.begin(), aKinds.end(), [this](const auto& aEntry) {
+    const auto& [kind, theirs] = aEntry;
+    return !mMirror.IsKnown(kind) ||
+           (theirs.mDigest != mMirror.Digest(kind) && theirs.mAsOf > mMirror.AsOf(kind));
+  });
+}
+
+/** Tells other instances of the objects if they have changed since the last time. */
+void RelayRuntime::SpreadChanges(ChangeSpread::Source aSource)
+{
+  bool hasChanged = false;
+  for (const auto kind : kObjectKinds) {
+    auto& spread = mSpreadStates[kind];
+    hasChanged = hasChanged || spread.mDigest != mMirror.Digest(kind);
+    spread = { mMirror.AsOf(kind), mMirror.Digest(kind) };
+  }
+  if (hasChanged) {
+    mMesh.SpreadChange(aSource);
+  }
+}
+
+void RelayRuntime::ApplyChanges(ObjectKind aKind, const PackedChanges& aChanges, TimePoint aNow)
+{
+  const bool isUsable =
+    aChanges.mAsOf > mMirror.AsOf(aKind) &&
+    (aChanges.mIsSnapshot || (mMirror.IsKnown(aKind) && aChanges.mSince <= mMirror.AsOf(aKind)));
+  const auto objects = isUsable ? UnpackObjects(aChanges) : std::nullopt;
+  if (!objects) {
+    return;
+  }
+  if (aChanges.mIsSnapshot) {
+    mMirror.Replace(aKind, { aChanges.mAsOf, *objects }, aNow, OriginOfList());
+  } else {
+    mMirror.Apply(aKind, KindChanges{ aChanges.mSince, aChanges.mAsOf, *objects }, aNow);
+  }
 }
 
 void RelayRuntime::OnExchange(const PeerExchange& aExchange)
 {
   const auto now = Now();
-  for (const auto& [kind, snapshot] : aExchange.mSnapshots) {
-    mMirror.Replace(kind, snapshot, now);
+  for (const auto& [kind, changes] : aExchange.mChanges) {
+    ApplyChanges(kind, *changes, now);
   }
+  for (const auto& [kind, state] : aExchange.mKinds) {
+    mMirror.Confirm(kind, state.mDigest, state.mAsOf);
+  }
+  if (aExchange.mConfirmationAge) {
+    mFollowing.OnConfirmation(*aExchange.mConfirmationAge, now);
+  }
+  SpreadChanges(ChangeSpread::Source::Instance);
   StopHoldingIfStateKnown();
   for (const auto& it : aExchange.mEvidence) {
     if (mRouter.Rollouts().OnEvidence(it, now)) {
       mLog.Write({ &kRolloutStopped,
                    { { "service", it.mService.Value() },
                      { "target", it.mTarget },
-                     { "from", aExchange.mFrom.mName } } });
+                     { "from", aExchange.mMembership.mFrom.mRecord.mName } } });
     }
   }
   for (const auto& it : aExchange.mCrashes) {
@@ -423,9 +563,9 @@
   }
 }
 
-void RelayRuntime::OnPeerChanged(const std::string& aName, bool aIsLive)
+void RelayRuntime::OnPeerChanged(const MemberChange& aChange)
 {
-  mLog.Write({ aIsLive ? &kPeerRegained : &kPeerLost, { { "peer", aName } } });
+  mLog.Write({ aChange.mIsLive ? &kPeerRegained : &kPeerLost, { { "peer", aChange.mName } } });
 }
 
 /** Releases the requests that wait at startup once configuration and endpoints are known. */
@@ -439,19 +579,23 @@
 void RelayRuntime::OnStoreSuccess(ObjectKind aKind)
 {
   StopHoldingIfStateKnown();
-  if (aKind == ObjectKind::Endpoints) {
-    mSync.SetStoreAvailable(true);
+  mServedKinds.insert(aKind);
+  const bool hadFailed = mFailedKinds.erase(aKind) > 0;
+  SpreadChanges(ChangeSpread::Source::Store);
+  if (!hadFailed) {
+    return;
   }
-  if (mFailedKinds.erase(aKind) > 0 && mFailedKinds.empty()) {
+  if (mFailedKinds.empty()) {
     mLog.Write({ &kStoreRegained, {} });
+    return;
+  }
+  for (const auto& it : mWatchers) {
+    it->RetryNow();
   }
 }
 
 void RelayRuntime::OnStoreFailure(ObjectKind aKind, const std::string& aReason)
 {
-  if (aKind == ObjectKind::Endpoints) {
-    mSync.SetStoreAvailable(false);
-  }
   if (mFailedKinds.empty()) {
     mLog.Write(
       { &kStoreLost, { { "kind", std::string(KindName(aKind)) }, { "reason", aReason } } });
@@ -459,4 +603,17 @@
   mFailedKinds.insert(aKind);
 }
 
+bool RelayRuntime::MayRetry(ObjectKind aKind) const
+{
+  return mFailedKinds.empty() || *mFailedKinds.begin() == aKind;
+}
+
+/** A list that this instance gets when no follower has been served for a while may lack entries
+   that expired in an outage. */
+ListOrigin RelayRuntime::OriginOfList() const
+{
+  const auto age = mFollowing.ConfirmationAge(Now());
+  return age && *age >= kOutageAge ? ListOrigin::AfterOutage : ListOrigin::Normal;
+}
+
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -9,6 +9,7 @@
 #include "SettingsSource.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <skylarkchute_peers/following/StoreFollowing.h>
 
 #include <optional>
 #include <set>
@@ -36,11 +37,16 @@
 private:
   using ErrorCode = boost::system::error_code;
 
-  PeerExchange MakeExchange(const std::map<ObjectKind, KindState>* aKnown) override;
+  void FillExchange(PeerExchange& aExchange,
+                    const KnownKinds* aKnown,
+                    std::size_t aMaxBytes) override;
   void OnExchange(const PeerExchange& aExchange) override;
-  void OnPeerChanged(const std::string& aName, bool aIsLive) override;
+  bool IsBehind(const KnownKinds& aKinds) const override;
+  void OnPeerChanged(const MemberChange& aChange) override;
   void OnStoreSuccess(ObjectKind aKind) override;
   void OnStoreFailure(ObjectKind aKind, const std::string& aReason) override;
+  bool MayRetry(ObjectKind aKind) const override;
+  ListOrigin OriginOfList() const override;
 
   bool Listen();
   bool IsReady() const;
@@ -59,14 +65,19 @@
   void DetectPause(TimePoint aNow);
   void UpdateReadiness();
   void StopHoldingIfStateKnown();
+  void UpdateStoreRole(TimePoint aNow);
+  void SpreadChanges(ChangeSpread::Source aSource);
+  std::shared_ptr<const PackedChanges> ChangesFor(ObjectKind aKind, const KindState* aKnown);
+  void ApplyChanges(ObjectKind aKind, const PackedChanges& aChanges, TimePoint aNow);
+  bool MayWrite(const std::string& aObject, TimePoint aNow);
   void Register();
   void RemoveDeadInstances(TimePoint aNow);
   void AdvanceRollouts(TimePoint aNow);
-  std::size_t RankFor(const std::string& aKey, TimePoint aNow) const;
+  std::size_t RankFor(const std::string& aKey) const;
 
   RelaySettings mSettings;
   SettingsSource& mSettingsSource;
-  InstanceEntry mSelf;
+  MemberRecord mSelf;
   EventLog mLog;
   MetricsRegistry mMetrics;
   boost::asio::io_context mLoop;
@@ -78,6 +89,7 @@
   FleetSync mSync;
   StoreMirror mMirror;
   PeerMesh mMesh;
+  StoreFollowing mFollowing;
   StoreWriter mWriter;
   std::vector<std::shared_ptr<StoreWatcher>> mWatchers;
   bool mIsLeaving = false;
@@ -91,9 +103,14 @@
   boost::asio::steady_timer mTickTimer;
   boost::asio::steady_timer mStopTimer;
   std::set<ObjectKind> mFailedKinds; /**< Kinds whose last list or watch call failed. */
+  std::set<ObjectKind> mServedKinds; /**< Kinds that were listed since this instance follows. */
+  std::map<ObjectKind, KindState> mSpreadStates; /**< The states that others were last told of. */
+  /** The last snapshot and the last changes that were packed, by kind and whether changes. */
+  std::map<std::pair<ObjectKind, bool>, std::shared_ptr<const PackedChanges>> mPacked;
+  std::map<std::string, TimePoint> mNextWriteAt; /**< By object. */
+  std::map<ServiceName, TimePoint> mStepSince;   /**< When a rollout's next step became due. */
   TimePoint mLastTick{};
   TimePoint mStopRequestedAt{};
-  TimePoint mNextRegisterAt{};
   std::uint64_t mTickCount = 0;
   bool mWasReady = false;
 };
--- a/modules/skylarkchute_relay/runtime/RelayStatus.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayStatus.cpp
@@ -30,6 +30,19 @@
   return aRow.mHealth.Allows(aNow) ? "open" : "avoided";
 }
 
+std::string_view RoleName(StoreRole aRole)
+{
+  switch (aRole) {
+    case StoreRole::None:
+      return "none";
+    case StoreRole::Follows:
+      return "follows";
+    case StoreRole::Fails:
+      return "fails";
+  }
+  return "none";
+}
+
 Json::Value ConfigToJson(const RelayStatusSource& aSource, TimePoint aNow)
 {
   Json::Value config(Json::objectValue);
@@ -104,6 +117,10 @@
   for (const auto it : aSource.mFailedKinds) {
     document["store_unserved"].append(std::string(KindName(it)));
   }
+  document["store_role"] = std::string(RoleName(aSource.mStoreRole));
+  if (aSource.mConfirmationAge) {
+    document["store_confirmed_ms"] = Json::Int64(aSource.mConfirmationAge->count());
+  }
   document["peers"] = Json::Value(Json::arrayValue);
   for (const auto& it : aSource.mPeers) {
     document["peers"].append(it.Value());
--- a/modules/skylarkchute_relay/runtime/RelayStatus.h
+++ b/modules/skylarkchute_relay/runtime/RelayStatus.h
@@ -3,8 +3,10 @@
 #include "../store/StoreMirror.h"
 
 #include <json/json.h>
+#include <skylarkchute_peers/membership/GossipTypes.h>
 #include <skylarkchute_routing/fleet/Fleet.h>
 
+#include <optional>
 #include <set>
 
 namespace skylarkchute {
@@ -12,11 +14,13 @@
 /** The state from which the status document of one relay is made. */
 struct RelayStatusSource
 {
-  const InstanceEntry& mSelf;
+  const MemberRecord& mSelf;
   FleetRouter& mRouter;
   const StoreMirror& mMirror;
   const std::set<ObjectKind>& mFailedKinds; /**< Kinds whose last list or watch call failed. */
-  std::vector<InstanceId> mPeers;           /**< Live instances, without this one. */
+  std::vector<InstanceId> mPeers{};         /**< Live instances, without this one. */
+  StoreRole mStoreRole = StoreRole::None;
+  std::optional<std::chrono::milliseconds> mConfirmationAge{}; /**< As in PeerExchange. */
   bool mIsReady = false;
   bool mIsLeaving = false;
 };
--- a/modules/skylarkchute_relay/store/StoreMirror.cpp
+++ b/modules/skylarkchute_relay/store/StoreMirror.cpp
@@ -1,11 +1,16 @@
 #include "StoreMirror.h"
 
+#include <algorithm>
 #include <set>
 
 namespace skylarkchute {
 
 namespace {
 
+/** Removals kept for other instances that are behind; one that is further behind gets a
+    snapshot. */
+constexpr std::size_t kMaxRemovals = 512;
+
 std::uint64_t HashOf(const StoreObject& aObject)
 {
   return StableHash(aObject.mName, aObject.mRevision);
@@ -43,25 +48,32 @@
   mListener(aKind, known);
 }
 
+/** Removes an object unless it changed after the removal.
+    @param aRemoved  the name, and the revision at which the object was known to be gone */
 void StoreMirror::Erase(ObjectKind aKind,
                         KindTable& aTable,
-                        const std::string& aName,
+                        const StoreObject& aRemoved,
                         TimePoint aNow)
 {
-  const auto found = aTable.mObjects.find(aName);
-  if (found == aTable.mObjects.end()) {
+  const auto found = aTable.mObjects.find(aRemoved.mName);
+  if (found == aTable.mObjects.end() || found->second.mRevision > aRemoved.mRevision) {
     return;
   }
-  auto removed = std::move(found->second);
+  aTable.mDigest ^= HashOf(found->second);
   aTable.mObjects.erase(found);
-  aTable.mDigest ^= HashOf(removed);
   aTable.mChangedAt = aNow;
-  removed.mIsDeleted = true;
-  removed.mText.clear();
-  mListener(aKind, removed);
+  aTable.mRemoved.push_back(aRemoved);
+  if (aTable.mRemoved.size() > kMaxRemovals) {
+    aTable.mChangesFrom = aTable.mRemoved.front().mRevision;
+    aTable.mRemoved.pop_front();
+  }
+  mListener(aKind, aRemoved);
 }
 
-void StoreMirror::Replace(ObjectKind aKind, const KindSnapshot& aSnapshot, TimePoint aNow)
+void StoreMirror::Replace(ObjectKind aKind,
+                          const KindSnapshot& aSnapshot,
+                          TimePoint aNow,
+                          ListOrigin aOrigin)
 {
   auto& table = mKinds[aKind];
   if (table.mIsKnown && aSnapshot.mAsOf < table.mAsOf) {
@@ -79,7 +91,11 @@
     }
   }
   for (const auto& it : missing) {
-    Erase(aKind, table, it, aNow);
+    Erase(
+      aKind, table, { it, aSnapshot.mAsOf, true, {}, aOrigin == ListOrigin::AfterOutage }, aNow);
+  }
+  if (!table.mIsKnown) {
+    table.mChangesFrom = aSnapshot.mAsOf;
   }
   table.mIsKnown = true;
   table.mAsOf = aSnapshot.mAsOf;
@@ -90,14 +106,64 @@
   auto& table = mKinds[aKind];
   for (const auto& it : aEvents.mObjects) {
     if (it.mIsDeleted) {
-      Erase(aKind, table, it.mName, aNow);
-    } else {
+      Erase(aKind, table, { it.mName, std::max(it.mRevision, aEvents.mAsOf), true, {} }, aNow);
+    } else if (it.mRevision > table.mAsOf) {
+      // Older events are known from another instance; the object may have been removed since.
       Set(aKind, table, it, aNow);
     }
   }
   table.mAsOf = std::max(table.mAsOf, aEvents.mAsOf);
 }
 
+bool StoreMirror::Apply(ObjectKind aKind, const KindChanges& aChanges, TimePoint aNow)
+{
+  auto& table = mKinds[aKind];
+  if (!table.mIsKnown || aChanges.mSince > table.mAsOf) {
+    return false;
+  }
+  if (aChanges.mAsOf <= table.mAsOf) {
+    return true;
+  }
+  for (const auto& it : aChanges.mObjects) {
+    if (it.mIsDeleted) {
+      Erase(aKind, table, it, aNow);
+    } else {
+      Set(aKind, table, it, aNow);
+    }
+  }
+  table.mAsOf = aChanges.mAsOf;
+  return true;
+}
+
+void StoreMirror::Confirm(ObjectKind aKind, std::uint64_t aDigest, std::uint64_t aAsOf)
+{
+  auto& table = mKinds[aKind];
+  if (table.mIsKnown && table.mDigest == aDigest) {
+    table.mAsOf = std::max(table.mAsOf, aAsOf);
+  }
+}
+
+std::optional<KindChanges> StoreMirror::ChangesSince(ObjectKind aKind,
+                                                     std::uint64_t aRevision) const
+{
+  const auto& table = Table(aKind);
+  if (!table.mIsKnown || aRevision < table.mChangesFrom) {
+    return std::nullopt;
+  }
+  KindChanges changes{ aRevision, table.mAsOf, {} };
+  for (const auto& it : table.mRemoved) {
+    if (it.mRevision > aRevision && table.mObjects.count(it.mName) == 0) {
+      changes.mObjects.push_back(it);
+    }
+  }
+  for (const auto& [name, object] : table.mObjects) {
+    if (object.mRevision > aRevision) {
+      changes.mObjects.push_back(object);
+    }
+  }
+  return changes;
+}
+
 bool StoreMirror::IsKnown(ObjectKind aKind) const
 {
   return Table(aKind).mIsKnown;
--- a/modules/skylarkchute_relay/store/StoreMirror.h
+++ b/modules/skylarkchute_relay/store/StoreMirror.h
@@ -2,8 +2,10 @@
 
 #include <platform/StoreCodec.h>
 
+#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +18,23 @@
   std::vector<StoreObject> mObjects;
 };
 
+/** The changes of the objects of one kind between two revisions of the store. */
+struct KindChanges
+{
+  std::uint64_t mSince = 0; /**< The receiver must know the kind up to this revision. */
+  std::uint64_t mAsOf = 0;  /**< Store revision. */
+  /** Changed objects in their newest state, and removed ones with the revision at which they were
+      known to be gone. */
+  std::vector<StoreObject> mObjects;
+};
+
+/** Whether entries may be missing from a list although their writers live. */
+enum class ListOrigin
+{
+  Normal,
+  AfterOutage,
+};
+
 /** In-memory copy of the newest state of the platform's store that this instance has received, from
     the store itself or from another instance. Never returns to an older state. Performs no I/O. */
 class StoreMirror
@@ -29,11 +48,25 @@
 
   /** Replaces all objects of a kind by a full list. A list older than the current state is
       ignored. */
-  void Replace(ObjectKind aKind, const KindSnapshot& aSnapshot, TimePoint aNow);
+  void Replace(ObjectKind aKind,
+               const KindSnapshot& aSnapshot,
+               TimePoint aNow,
+               ListOrigin aOrigin = ListOrigin::Normal);
 
   /** Applies the changes of a watch that follow the current state. */
   void Apply(ObjectKind aKind, const StorePage& aEvents, TimePoint aNow);
 
+  /** Applies changes received from another instance.
+      @returns false when the kind is not known up to the revision that they start from */
+  bool Apply(ObjectKind aKind, const KindChanges& aChanges, TimePoint aNow);
+
+  /** Records that the objects were still the same at a later revision. */
+  void Confirm(ObjectKind aKind, std::uint64_t aDigest, std::uint64_t aAsOf);
+
+  /** Returns the changes since a revision, or nothing when they are no longer known; a snapshot is
+      needed then. */
+  std::optional<KindChanges> ChangesSince(ObjectKind aKind, std::uint64_t aRevision) const;
+
   /** Returns whether a full list of the kind was ever received. */
   bool IsKnown(ObjectKind aKind) const;
 
@@ -56,13 +89,15 @@
   {
     bool mIsKnown = false;
     std::uint64_t mAsOf = 0;
+    std::uint64_t mChangesFrom = 0;   /**< Removals are recorded after this revision. */
+    std::deque<StoreObject> mRemoved; /**< The newest removals, oldest first. */
     std::uint64_t mDigest = 0;
     TimePoint mChangedAt{};
     std::map<std::string, StoreObject> mObjects;
   };
 
   void Set(ObjectKind aKind, KindTable& aTable, const StoreObject& aObject, TimePoint aNow);
-  void Erase(ObjectKind aKind, KindTable& aTable, const std::string& aName, TimePoint aNow);
+  void Erase(ObjectKind aKind, KindTable& aTable, const StoreObject& aRemoved, TimePoint aNow);
   const KindTable& Table(ObjectKind aKind) const;
 
   Listener mListener;
--- a/modules/skylarkchute_relay/store/StoreWatcher.cpp
+++ b/modules/skylarkchute_relay/store/StoreWatcher.cpp
@@ -10,20 +10,14 @@
 
 /** The store answers a watch after this time if nothing has changed. TCP keepalive probes detect a
     dead connection sooner. */
-constexpr milliseconds kWatchWait{ 25000 };
+constexpr milliseconds kWatchWait{ 30000 };
 constexpr milliseconds kWatchTimeoutMargin{ 1500 };
 constexpr milliseconds kListTimeout{ 2500 };
 
 /** Pause after a failed call, doubled for each further consecutive failure. Jitter shortens it to
     between half and the full time. */
 constexpr milliseconds kInitialBackoff{ 120 };
-constexpr std::uint32_t kMaxDoublings = 3;
-
-/** Fleets of up to this many instances use the base coalescing delay. In larger fleets the delay
-    grows in proportion to the size, up to kMaxDelayFactor, since every change makes all instances
-    call the store. */
-constexpr std::size_t kUnscaledFleetSize = 12;
-constexpr double kMaxDelayFactor = 4;
+constexpr std::uint32_t kMaxDoublings = 4;
 
 /** Returns the pause between a change and the next watch. Changes come in series and every call to
     the store has a cost, so the pause lets one call return several changes. It has to stay well
@@ -68,9 +62,18 @@
   mPauseTimer.cancel();
   mCall->Cancel();
   mFailures = 0;
+  mIsStopped = false;
   List({});
 }
 
+void StoreWatcher::RetryNow()
+{
+  if (mFailures > 0 && !mIsStopped && !mCall->IsBusy()) {
+    mPauseTimer.cancel();
+    Retry();
+  }
+}
+
 void StoreWatcher::Stop()
 {
   mIsStopped = true;
@@ -106,9 +109,10 @@
     List(page->mObjects.back().mName);
     return;
   }
+  const auto origin = mFailures > 0 ? ListOrigin::AfterOutage : mListener.OriginOfList();
   mFailures = 0;
   mWatchRevision = mListing.mAsOf;
-  mMirror.Replace(mKind, mListing, std::chrono::steady_clock::now());
+  mMirror.Replace(mKind, mListing, std::chrono::steady_clock::now(), origin);
   mListing = KindSnapshot{};
   mListener.OnStoreSuccess(mKind);
   Watch();
@@ -147,10 +151,7 @@
     Watch();
     return;
   }
-  const double factor =
-    std::clamp(static_cast<double>(mInstances) / kUnscaledFleetSize, 1.0, kMaxDelayFactor);
-  mPauseTimer.expires_after(
-    std::chrono::duration_cast<milliseconds>(CoalescingDelay(mKind) * factor));
+  mPauseTimer.expires_after(CoalescingDelay(mKind));
   mPauseTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
     if (!aError) {
       self->Watch();
@@ -162,15 +163,35 @@
 {
   mListener.OnStoreFailure(
     mKind, aResult.mHasResponse ? "status " + std::to_string(aResult.mStatus) : "no answer");
-  const auto pause = kInitialBackoff * (1U << std::min(mFailures, kMaxDoublings));
   ++mFailures;
+  ScheduleRetry();
+}
+
+void StoreWatcher::ScheduleRetry()
+{
+  const auto pause = kInitialBackoff * (1U << std::min(mFailures - 1, kMaxDoublings));
   mPauseTimer.expires_after(
     std::chrono::duration_cast<milliseconds>(pause * (0.5 + 0.5 * mJitter())));
   mPauseTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
-    if (!aError && !self->mIsStopped) {
-      self->List({});
+    if (aError || self->mIsStopped) {
+      return;
+    }
+    if (self->mListener.MayRetry(self->mKind)) {
+      self->Retry();
+    } else {
+      self->ScheduleRetry();
     }
   });
 }
 
+void StoreWatcher::Retry()
+{
+  // Entries of endpoints expire, also while the store is away; a list shows which were lost so.
+  if (mKind == ObjectKind::Endpoints || mWatchRevision == 0) {
+    List({});
+  } else {
+    Watch();
+  }
+}
+
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/store/StoreWatcher.h
+++ b/modules/skylarkchute_relay/store/StoreWatcher.h
@@ -12,11 +12,18 @@
   virtual ~StoreHealthListener() = default;
   virtual void OnStoreSuccess(ObjectKind aKind) = 0;
   virtual void OnStoreFailure(ObjectKind aKind, const std::string& aReason) = 0;
+
+  /** Returns whether a watcher whose call failed is to try again now. While the store is away, one
+      kind tries for all. */
+  virtual bool MayRetry(ObjectKind aKind) const = 0;
+
+  /** Returns whether entries may have expired in an outage of the store. */
+  virtual ListOrigin OriginOfList() const = 0;
 };
 
 /** Keeps the objects of one kind in the mirror up to date: lists them, then watches for changes by
-    long polling. Lists again after a failed call, and when the store no longer retains the changes
-    since the last revision. */
+    long polling. Lists again when the store no longer retains the changes since the last revision,
+    and after a failed call if entries of the kind may have expired in the meantime. */
 class StoreWatcher : public std::enable_shared_from_this<StoreWatcher>
 {
 public:
@@ -32,10 +39,10 @@
   /** Cancels a call in progress and starts again with a list. */
   void Restart();
 
-  /** Sets the number of live instances that watch the store; it scales the pause after a change. */
-  void SetInstances(std::size_t aInstances) { mInstances = aInstances; }
+  /** Tries again now if the last call failed. */
+  void RetryNow();
 
-  /** Cancels the call in progress and makes no further ones. */
+  /** Cancels the call in progress and makes no further ones until Restart(). */
   void Stop();
 
 private:
@@ -44,6 +51,8 @@
   void OnListed(const CallResult& aResult);
   void OnWatched(const CallResult& aResult);
   void RetryAfterFailure(const CallResult& aResult);
+  void ScheduleRetry();
+  void Retry();
 
   ObjectKind mKind;
   StoreMirror& mMirror;
@@ -54,8 +63,7 @@
   KindSnapshot mListing;
   std::uint64_t mWatchRevision = 0; /**< Last revision received from the store itself. */
   std::uint32_t mFailures = 0;      /**< Consecutive failed calls. */
-  std::size_t mInstances = 1;
-  bool mIsStopped = false;
+  bool mIsStopped = true;
 };
 
 } // namespace skylarkchute
--- /dev/null
+++ b/tests/skylarkchute_peers/FleetSimulation.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <skylarkchute_peers/following/StoreFollowing.h>
+#include <skylarkchute_peers/membership/GossipMembership.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace skylarkchute {
+
+/** Instances that exchange membership messages on a simulated clock, with faults by seed. Messages
+    take a few milliseconds; a call that is lost fails after its timeout. A simulated store serves
+    those that follow it. */
+class FleetSimulation
+{
+public:
+  /** @param aZones  the instances are spread over this many zones; the first one of each of the
+                    first three zones is a contact of all */
+  FleetSimulation(std::size_t aInstances, std::size_t aZones, std::uint64_t aSeed);
+
+  /** Lets simulated time pass. */
+  void Run(std::chrono::milliseconds aTime);
+
+  /** Ends the process of an instance. */
+  void Kill(std::size_t aIndex);
+
+  /** Starts the process of an instance again, with a new incarnation. */
+  void Start(std::size_t aIndex);
+
+  /** Suspends an instance, or wakes it. */
+  void Freeze(std::size_t aIndex, bool aIsFrozen);
+
+  /** Cuts the instances below an index off from the others; zero for no cut. */
+  void CutBelow(std::size_t aIndex) { mCutBelow = aIndex; }
+
+  /** Sets the share of the messages that are lost, 0 to 1. */
+  void SetLoss(double aLoss) { mLoss = aLoss; }
+
+  /** Sets which instances the store serves. */
+  void SetStoreServes(std::function<bool(std::size_t)> aServes)
+  {
+    mStoreServes = std::move(aServes);
+  }
+
+  /** Lets each instance also decide whether to follow the store. */
+  void EnableFollowing() { mHasFollowing = true; }
+
+  /** Returns whether all running instances consider exactly the running ones live. */
+  bool IsAgreed() const;
+
+  /** Returns how often a running instance was declared dead by another one. */
+  std::size_t FalseDeaths() const { return mFalseDeaths; }
+
+  /** Returns how many changes of liveness all instances have seen. */
+  std::size_t Changes() const { return mChanges; }
+
+  /** Returns the indices of the running instances with a role. */
+  std::vector<std::size_t> WithRole(StoreRole aRole) const;
+
+  /** Returns the number of calls that were made to the store. */
+  std::size_t StoreCalls() const { return mStoreCalls; }
+
+  /** Returns the longest time since a running instance's state was confirmed; instances without a
+      confirmation count as an hour. */
+  std::chrono::milliseconds LongestConfirmationAge() const;
+
+  GossipMembership& Members(std::size_t aIndex) { return *mNodes[aIndex].mMembers; }
+
+private:
+  struct Node
+  {
+    MemberRecord mRecord;
+    std::uint64_t mStarts = 0;
+    std::unique_ptr<GossipMembership> mMembers;
+    std::unique_ptr<StoreFollowing> mFollowing;
+    bool mIsRunning = false;
+    bool mIsFrozen = false;
+    bool mWasFrozen = false;
+    bool mWatches = false; /**< Its watch of the store is served. */
+    TimePoint mNextRetry{};
+  };
+
+  struct Event
+  {
+    TimePoint mAt;
+    std::uint64_t mSequence;
+    std::function<void()> mAction;
+    bool operator>(const Event& aOther) const
+    {
+      return std::tie(mAt, mSequence) > std::tie(aOther.mAt, aOther.mSequence);
+    }
+  };
+
+  void At(std::chrono::milliseconds aDelay, std::function<void()> aAction);
+  void Tick(std::size_t aIndex, std::uint64_t aStart);
+  void TickFollowing(Node& aNode, std::size_t aIndex);
+  void Call(std::size_t aFrom, std::size_t aTo, std::function<void(bool)> aDone);
+  bool IsDelivered(std::size_t aFrom, std::size_t aTo);
+  void Deliver(const MembershipMessage& aMessage,
+               std::optional<std::chrono::milliseconds> aAge,
+               std::size_t aTo);
+  std::optional<std::size_t> IndexOf(const std::string& aName) const;
+
+  std::vector<Node> mNodes;
+  std::map<std::string, std::size_t> mIndices;
+  std::vector<Event> mEvents; /**< A heap, earliest first. */
+  std::uint64_t mSequence = 0;
+  TimePoint mNow{ std::chrono::hours(1) };
+  std::size_t mZones;
+  std::size_t mCutBelow = 0;
+  double mLoss = 0;
+  std::function<bool(std::size_t)> mStoreServes = [](std::size_t) { return true; };
+  bool mHasFollowing = false;
+  std::mt19937 mRandom;
+  std::size_t mFalseDeaths = 0;
+  std::size_t mChanges = 0;
+  std::size_t mStoreCalls = 0;
+};
+
+} // namespace skylarkchute
--- /dev/null
+++ b/tests/skylarkchute_peers/StoreFollowingTests.cpp
@@ -0,0 +1,116 @@
+#include "FleetSimulation.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace skylarkchute;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr seconds kStartTime{ 8 };
+
+/** Bound of the deployments for a configuration to be in force, the shortest for fleets of some
+    size. An instance must not be without a follower's state for longer. */
+constexpr milliseconds kLongestBlindTime{ 4000 };
+
+} // namespace
+
+TEST_CASE("the store is followed by three instances, whatever the size of the fleet")
+{
+  const auto size = GENERATE(std::size_t{ 9 }, std::size_t{ 71 }, std::size_t{ 295 });
+  FleetSimulation fleet(size, 3, 11);
+  fleet.EnableFollowing();
+  fleet.Run(kStartTime);
+  const auto calls = fleet.StoreCalls();
+  CHECK(calls <= 2 * StoreFollowing::kFollowers);
+  CHECK(fleet.WithRole(StoreRole::Follows).size() == StoreFollowing::kFollowers);
+  fleet.SetLoss(0.01);
+  fleet.Run(seconds(60));
+  CHECK(fleet.StoreCalls() == calls);
+  CHECK(fleet.LongestConfirmationAge() < kLongestBlindTime);
+}
+
+TEST_CASE("followers that stop all at once are replaced in time")
+{
+  const auto size = GENERATE(std::size_t{ 9 }, std::size_t{ 71 }, std::size_t{ 295 });
+  const auto freezes = GENERATE(false, true);
+  FleetSimulation fleet(size, 3, 12);
+  fleet.EnableFollowing();
+  fleet.Run(kStartTime);
+  for (const auto it : fleet.WithRole(StoreRole::Follows)) {
+    if (freezes) {
+      fleet.Freeze(it, true);
+    } else {
+      fleet.Kill(it);
+    }
+  }
+  milliseconds longest{ 0 };
+  for (int n = 0; n < 100; ++n) {
+    fleet.Run(milliseconds(100));
+    longest = std::max(longest, fleet.LongestConfirmationAge());
+  }
+  INFO("longest time without confirmation: " << longest.count() << " ms");
+  CHECK(longest < kLongestBlindTime);
+  CHECK(fleet.LongestConfirmationAge() < kLongestBlindTime);
+}
+
+TEST_CASE("a follower that the store turns away is replaced while the others serve")
+{
+  const auto size = GENERATE(std::size_t{ 9 }, std::size_t{ 71 }, std::size_t{ 295 });
+  FleetSimulation fleet(size, 3, 13);
+  fleet.EnableFollowing();
+  fleet.Run(kStartTime);
+  const auto first = fleet.WithRole(StoreRole::Follows);
+  const std::set<std::size_t> refused(first.begin(), first.end());
+  fleet.SetStoreServes([&](std::size_t aIndex) { return refused.count(aIndex) == 0; });
+  fleet.Run(seconds(10));
+  CHECK(fleet.WithRole(StoreRole::Follows).size() >= StoreFollowing::kFollowers);
+  CHECK(fleet.LongestConfirmationAge() < kLongestBlindTime);
+  fleet.Run(seconds(10));
+  CHECK(fleet.WithRole(StoreRole::Follows).size() == StoreFollowing::kFollowers);
+}
+
+TEST_CASE("an outage of the store costs a number of calls that does not depend on the size")
+{
+  const auto size = GENERATE(std::size_t{ 9 }, std::size_t{ 71 }, std::size_t{ 295 });
+  FleetSimulation fleet(size, 3, 14);
+  fleet.EnableFollowing();
+  fleet.Run(kStartTime);
+  const auto before = fleet.StoreCalls();
+  fleet.SetStoreServes([](std::size_t) { return false; });
+  fleet.Run(seconds(20));
+  // A call a second of each instance that keeps trying, and two trials a second of the fleet.
+  CHECK(fleet.StoreCalls() - before <= 20 * (StoreFollowing::kMaxFailing + 2));
+  fleet.SetStoreServes([](std::size_t) { return true; });
+  fleet.Run(seconds(6));
+  CHECK(fleet.LongestConfirmationAge() < kLongestBlindTime);
+  fleet.Run(seconds(10));
+  CHECK(fleet.WithRole(StoreRole::Follows).size() == StoreFollowing::kFollowers);
+}
+
+TEST_CASE("with a store that serves one in ten, the fleet finds one that is served")
+{
+  FleetSimulation fleet(295, 5, 15);
+  fleet.EnableFollowing();
+  fleet.Run(kStartTime);
+  fleet.SetStoreServes([](std::size_t aIndex) { return aIndex % 10 == 9; });
+  fleet.Run(seconds(15));
+  CHECK_FALSE(fleet.WithRole(StoreRole::Follows).empty());
+  CHECK(fleet.LongestConfirmationAge() < kLongestBlindTime);
+}
+
+TEST_CASE("each of two groups that are cut off from each other has followers of its own")
+{
+  FleetSimulation fleet(71, 3, 16);
+  fleet.EnableFollowing();
+  fleet.Run(kStartTime);
+  fleet.CutBelow(35);
+  fleet.Run(seconds(15));
+  CHECK(fleet.LongestConfirmationAge() < kLongestBlindTime);
+  fleet.CutBelow(0);
+  fleet.Run(seconds(30));
+  CHECK(fleet.WithRole(StoreRole::Follows).size() == StoreFollowing::kFollowers);
+}
--- a/tests/skylarkchute_relay/FleetSyncTests.cpp
+++ b/tests/skylarkchute_relay/FleetSyncTests.cpp
@@ -45,10 +45,10 @@
   SyncFixture fixture;
   fixture.mMirror.Replace(
     ObjectKind::Endpoints, { 10, { MakeEndpoint("e1", 5, kReady) } }, fixture.mNow);
-  fixture.mSync.SetStoreAvailable(false);
-  fixture.mMirror.Replace(
-    ObjectKind::Endpoints, { 12, { MakeEndpoint("e1", 5, kReady) } }, fixture.mNow);
-  fixture.mSync.SetStoreAvailable(true);
+  fixture.mMirror.Replace(ObjectKind::Endpoints,
+                          { 12, { MakeEndpoint("e1", 5, kReady) } },
+                          fixture.mNow,
+                          ListOrigin::AfterOutage);
   StorePage page;
   page.mAsOf = 13;
   page.mObjects = { { "e1", 5, true, "" } };
@@ -61,9 +61,7 @@
   SyncFixture fixture;
   fixture.mMirror.Replace(
     ObjectKind::Endpoints, { 10, { MakeEndpoint("e1", 5, kReady) } }, fixture.mNow);
-  fixture.mSync.SetStoreAvailable(false);
-  fixture.mMirror.Replace(ObjectKind::Endpoints, { 12, {} }, fixture.mNow);
-  fixture.mSync.SetStoreAvailable(true);
+  fixture.mMirror.Replace(ObjectKind::Endpoints, { 12, {} }, fixture.mNow, ListOrigin::AfterOutage);
   CHECK(fixture.HasEndpoint("e1"));
 }
 
--- /dev/null
+++ b/tests/skylarkchute_relay/PeerMeshTests.cpp
@@ -0,0 +1,124 @@
+#include "RelayFixture.h"
+
+#include <catch2/catch.hpp>
+#include <skylarkchute_relay/callers/ControlServer.h>
+#include <skylarkchute_relay/net/SocketOptions.h>
+#include <skylarkchute_relay/peers/PeerMesh.h>
+
+using namespace skylarkchute;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto kKind = ObjectKind::Config;
+
+/** A mesh with a mirror of one kind, served on a loopback port. */
+struct MeshNode : PeerMeshOwner
+{
+  MeshNode(boost::asio::io_context& aLoop,
+           const MemberRecord& aSelf,
+           const std::vector<std::string>& aSeeds)
+    : mMesh(aLoop, *this, aSelf, aSeeds, StableHash(aSelf.mName))
+    , mServer(aLoop, [this](const ControlRequest& aRequest) {
+      ++mCalls;
+      return ControlResponse{ 200, "application/json", mMesh.Serve(aRequest.mBody) };
+    })
+  {
+    REQUIRE(mServer.Listen(*ParseSocketAddress(aSelf.mAddress)));
+  }
+
+  void FillExchange(PeerExchange& aExchange,
+                    const KnownKinds* aKnown,
+                    std::size_t aMaxBytes) override
+  {
+    if (!mMirror.IsKnown(kKind)) {
+      return;
+    }
+    aExchange.mKinds[kKind] = { mMirror.AsOf(kKind), mMirror.Digest(kKind) };
+    const auto packed = PackSnapshot(mMirror.Snapshot(kKind));
+    const bool isBehind = aKnown != nullptr && (aKnown->count(kKind) == 0 ||
+                                                aKnown->at(kKind).mAsOf < mMirror.AsOf(kKind));
+    if (isBehind && packed.mText.size() <= aMaxBytes) {
+      aExchange.mChanges[kKind] = std::make_shared<const PackedChanges>(packed);
+      ++mSnapshots;
+    }
+  }
+
+  void OnExchange(const PeerExchange& aExchange) override
+  {
+    for (const auto& [kind, changes] : aExchange.mChanges) {
+      if (changes->mAsOf > mMirror.AsOf(kind)) {
+        mMirror.Replace(
+          kind, { changes->mAsOf, *UnpackObjects(*changes) }, std::chrono::steady_clock::now());
+        mMesh.SpreadChange(ChangeSpread::Source::Instance);
+      }
+    }
+  }
+
+  bool IsBehind(const KnownKinds& aKinds) const override
+  {
+    const auto found = aKinds.find(kKind);
+    return found != aKinds.end() && found->second.mAsOf > mMirror.AsOf(kKind);
+  }
+
+  void OnPeerChanged(const MemberChange&) override {}
+
+  StoreMirror mMirror{ [](ObjectKind, const StoreObject&) {} };
+  PeerMesh mMesh;
+  ControlServer mServer;
+  std::size_t mCalls = 0;
+  std::size_t mSnapshots = 0;
+};
+
+std::string FreeAddress(boost::asio::io_context& aLoop)
+{
+  boost::asio::ip::tcp::acceptor acceptor(aLoop, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+} // namespace
+
+TEST_CASE("a change that one instance has from the store reaches the others without a regular call")
+{
+  RelayFixture fixture;
+  std::vector<std::unique_ptr<MeshNode>> nodes;
+  std::vector<std::string> seeds;
+  for (int n = 0; n < 12; ++n) {
+    const auto address = FreeAddress(fixture.mLoop);
+    if (seeds.empty()) {
+      seeds = { address };
+    }
+    const auto name = "i" + std::to_string(n);
+    nodes.push_back(std::make_unique<MeshNode>(
+      fixture.mLoop, MemberRecord{ name, name + "~1", address, n % 2 == 0 ? "a" : "b" }, seeds));
+  }
+  const auto areAll = [&](auto aCondition) {
+    return std::all_of(
+      nodes.begin(), nodes.end(), [&](const auto& aNode) { return aCondition(*aNode); });
+  };
+  for (int n = 0; n < 12; ++n) {
+    for (const auto& it : nodes) {
+      it->mMesh.Tick(std::chrono::steady_clock::now());
+    }
+    const auto end = std::chrono::steady_clock::now() + milliseconds(30);
+    fixture.RunUntil([end] { return std::chrono::steady_clock::now() >= end; });
+  }
+  REQUIRE(areAll([](MeshNode& aNode) { return aNode.mMesh.Members().LiveCount() == 12; }));
+
+  // No tick is made from here on, so only the spread of the change carries it.
+  const StoreObject object{
+    "main", 9, false, R"({"Metadata":{"Name":"main","Revision":9},"Spec":{}})"
+  };
+  nodes[0]->mMirror.Replace(kKind, { 9, { object } }, std::chrono::steady_clock::now());
+  nodes[0]->mMesh.SpreadChange(ChangeSpread::Source::Store);
+  std::size_t reached = 0;
+  fixture.RunUntil([&] {
+    reached = 0;
+    for (const auto& it : nodes) {
+      reached += it->mMirror.AsOf(kKind) == 9 ? 1 : 0;
+    }
+    return reached == nodes.size();
+  });
+  // At random, an instance may be left out; the regular calls reach it.
+  CHECK(reached >= nodes.size() - 1);
+}
--- /dev/null
+++ b/tests/skylarkchute_relay/StoreWatcherTests.cpp
@@ -0,0 +1,85 @@
+#include "RelayFixture.h"
+
+#include <catch2/catch.hpp>
+#include <skylarkchute_relay/store/StoreWatcher.h>
+
+#include <set>
+
+using namespace skylarkchute;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Watchers of all kinds before a stand-in of the store, with the rule of the runtime for retries.
+ */
+struct WatcherFixture : StoreHealthListener
+{
+  WatcherFixture()
+  {
+    for (const auto it : kObjectKinds) {
+      mWatchers.push_back(std::make_shared<StoreWatcher>(
+        mRelay.mLoop, mStore.Address(), it, mMirror, *this, [] { return 1.0; }));
+    }
+  }
+
+  void OnStoreSuccess(ObjectKind aKind) override
+  {
+    mFailed.erase(aKind);
+    for (const auto& it : mWatchers) {
+      it->RetryNow();
+    }
+  }
+  void OnStoreFailure(ObjectKind aKind, const std::string&) override { mFailed.insert(aKind); }
+  bool MayRetry(ObjectKind aKind) const override
+  {
+    return mFailed.empty() || *mFailed.begin() == aKind;
+  }
+  ListOrigin OriginOfList() const override { return ListOrigin::Normal; }
+
+  /** Runs the loop for a time. */
+  void RunFor(milliseconds aTime)
+  {
+    const auto end = std::chrono::steady_clock::now() + aTime;
+    mRelay.RunUntil([end] { return std::chrono::steady_clock::now() >= end; });
+  }
+
+  RelayFixture mRelay;
+  bool mIsAway = true;
+  FakeEndpoint mStore{ mRelay.mLoop,
+                       [this](const std::string& aRequest, const FakeEndpoint::Socket& aSocket) {
+                         const bool isWatch = aRequest.find("Watch=") != std::string::npos;
+                         if (mIsAway) {
+                           WriteAll(aSocket, "HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n");
+                         } else if (!isWatch) {
+                           const std::string body = R"({"Items":[],"HasMore":false,"AsOf":7})";
+                           WriteAll(aSocket,
+                                    "HTTP/1.1 200 -\r\nContent-Length: " +
+                                      std::to_string(body.size()) + "\r\n\r\n" + body);
+                         }
+                       } };
+  StoreMirror mMirror{ [](ObjectKind, const StoreObject&) {} };
+  std::set<ObjectKind> mFailed;
+  std::vector<std::shared_ptr<StoreWatcher>> mWatchers;
+};
+
+} // namespace
+
+TEST_CASE("while the store is away, one kind tries for all, and all go on once it is back")
+{
+  // Each kind used to try by itself, so an outage cost four times the calls.
+  WatcherFixture fixture;
+  for (const auto& it : fixture.mWatchers) {
+    it->Restart();
+  }
+  fixture.RunFor(milliseconds(2200));
+  // One call of each kind, then retries after 120, 240, 480 and 960 ms.
+  CHECK(fixture.mStore.mRequests.size() <= 4 + 5);
+  fixture.mIsAway = false;
+  CHECK(fixture.mRelay.RunUntil([&] { return fixture.mFailed.empty(); }));
+  for (const auto it : kObjectKinds) {
+    CHECK(fixture.mMirror.IsKnown(it));
+  }
+  for (const auto& it : fixture.mWatchers) {
+    it->Stop();
+  }
+}
