An instance's share of an endpoint's connections is at least one

Ruled out: a separate "unknown" flag, since a share of none has no use. Change: the share is one at least; unknown only where the service states no limit. Measured: the new test gave 0 before and 1 now.

--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -178,8 +178,10 @@
     attempt.mSize = aPlan.mSize.value_or(first);
     attempt.mModel = route.mSizes[*attempt.mSize];
   }
-  if (const auto* service = aPlan.mConfig->FindService(aPlan.mService)) {
-    attempt.mConnectionLimit = service->mMaxConnections / static_cast<std::uint32_t>(mInstances);
+  const auto* service = aPlan.mConfig->FindService(aPlan.mService);
+  if (service != nullptr && service->mMaxConnections > 0) {
+    const auto share = service->mMaxConnections / static_cast<std::uint32_t>(mInstances);
+    attempt.mConnectionLimit = std::max(share, 1U);
   }
   attempt.mLatencyKind = KindOf(aPlan, attempt.mSize);
   return attempt;
--- a/tests/skylarkchute_routing/FleetFixture.cpp
+++ b/tests/skylarkchute_routing/FleetFixture.cpp
@@ -46,6 +46,7 @@
   RelayService service;
   service.mName = ServiceName("svc");
   service.mEngineSlots = 64;
+  service.mMaxConnections = 90;
   config.mServices = { service };
   mRouter.SetConfig(std::make_shared<const ConfigIndex>(std::move(config)));
 }
--- a/tests/skylarkchute_routing/FleetRouterTests.cpp
+++ b/tests/skylarkchute_routing/FleetRouterTests.cpp
@@ -40,6 +40,20 @@
   }
 }
 
+TEST_CASE("fleet: with more instances than connections, each instance's share is one")
+{
+  // A share of none is read as unknown, so each instance kept as many idle connections as with none
+  // to share, which an endpoint at its limit resets.
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 1);
+  auto plan = fleet.Admit("/chat/1");
+  fleet.mRouter.SetInstances(9);
+  CHECK(fleet.Run(plan).mConnectionLimit == 10);
+  auto other = fleet.Admit("/chat/1");
+  fleet.mRouter.SetInstances(200);
+  CHECK(fleet.Run(other).mConnectionLimit == 1);
+}
+
 TEST_CASE("fleet: a draining endpoint gets nothing new")
 {
   FleetFixture fleet;
