Rollouts: fewer canary subjects in large fleets, and two calls a tick while one is running

A subject's use is known to all only after the exchange has spread it; around the end of a session two instances decide by what each knows. The change of membership had halved the calls (one a tick in place of two). Ruled out: the local part of the exposure limit (a variant that let each instance expose one request gave the same counts; reverted). Change: two calls a tick while a rollout is running, as before; the canary share shrinks with the square root of the fleet's size above 12 instances, since larger fleets have the traffic for evidence.

--- a/modules/skylarkchute_peers/following/ChangeSpread.cpp
+++ b/modules/skylarkchute_peers/following/ChangeSpread.cpp
@@ -44,4 +44,9 @@
   return receivers;
 }
 
+std::string ChangeSpread::AnyOf(const std::vector<const MemberUpdate*>& aLive)
+{
+  return aLive.empty() ? std::string() : aLive[mRandom() % aLive.size()]->mRecord.mName;
+}
+
 } // namespace skylarkchute
--- a/modules/skylarkchute_peers/following/ChangeSpread.h
+++ b/modules/skylarkchute_peers/following/ChangeSpread.h
@@ -26,6 +26,9 @@
   /** Returns the names of the instances to tell. */
   std::vector<std::string> Receivers(const std::vector<const MemberUpdate*>& aLive, Source aSource);
 
+  /** Returns the name of any one of the instances; empty if there is none. */
+  std::string AnyOf(const std::vector<const MemberUpdate*>& aLive);
+
 private:
   std::string mZone;
   std::minstd_rand mRandom;
--- a/modules/skylarkchute_relay/peers/PeerMesh.cpp
+++ b/modules/skylarkchute_relay/peers/PeerMesh.cpp
@@ -86,6 +86,11 @@
   Tick(aNow);
 }
 
+void PeerMesh::CallAny()
+{
+  Call(mSpread.AnyOf(mMembers.LiveMembers()));
+}
+
 void PeerMesh::SpreadChange(ChangeSpread::Source aSource)
 {
   for (const auto& it : mSpread.Receivers(mMembers.LiveMembers(), aSource)) {
--- a/modules/skylarkchute_relay/peers/PeerMesh.h
+++ b/modules/skylarkchute_relay/peers/PeerMesh.h
@@ -63,6 +63,9 @@
   /** Calls an instance, now or after the call in progress. */
   void Call(const std::string& aName);
 
+  /** Calls any one instance, so that evidence reaches all sooner. */
+  void CallAny();
+
   /** Tells a few instances of a change of the objects. */
   void SpreadChange(ChangeSpread::Source aSource);
 
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -272,6 +272,9 @@
   mPool.CloseExpired(now);
   if (mTickCount % static_cast<std::uint64_t>(PeerMesh::kInterval / kTickInterval) == 0) {
     mMesh.Tick(now);
+    if (mRouter.Rollouts().IsRunning()) {
+      mMesh.CallAny();
+    }
     for (const auto& it : mFollowing.FollowersToCall(mMesh.Members().LiveMembers())) {
       mMesh.Call(it);
     }
--- a/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
@@ -1,6 +1,7 @@
 #include "RolloutTracker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace skylarkchute {
 
@@ -9,12 +10,16 @@
 /** Fractions of a rollout's period at which its phases begin. Sessions may move after the first
     half. The last phase leaves time for answers in progress before the older endpoints stop. */
 constexpr double kSessionMoveStart = 0.51; /**< Subjects in use may move. */
-constexpr double kRampStart = 0.55;        /**< The share grows from kCanaryShare to 1. */
+constexpr double kRampStart = 0.55;        /**< The share grows from the canary share to 1. */
 constexpr double kFullShareStart = 0.75;   /**< All requests use the newer version. */
 constexpr double kCompletionStart = 0.88;  /**< The rollout may be completed. */
 
-/** Share of the subjects that may use the newer version at first. */
+/** Share of the subjects that may use the newer version at first, in fleets of up to
+    kSmallFleet instances. In larger ones, with their greater traffic, a smaller share gives enough
+    answers. A use takes longer to be known to all there, so more sessions would change their
+    version in between. */
 constexpr double kCanaryShare = 0.08;
+constexpr double kSmallFleet = 12;
 
 /** Canary share from kSessionMoveStart on if the service has so little traffic that the newer
     version has not returned kMinAnswers yet. The exposure limit still applies. */
@@ -143,6 +148,12 @@
   return std::chrono::duration<double>(aNow - aRollout.mStart) / period;
 }
 
+double RolloutTracker::CanaryShare() const
+{
+  const auto instances = static_cast<double>(std::max<std::size_t>(mInstances, 1));
+  return kCanaryShare * std::min(1.0, std::sqrt(kSmallFleet / instances));
+}
+
 bool RolloutTracker::MayExpose(const Rollout& aRollout, double aShare) const
 {
   const double slack = mBound.mSlack / static_cast<double>(std::max<std::size_t>(mInstances, 1));
@@ -172,10 +183,10 @@
   if (progress >= kRampStart && hasEvidence) {
     // Subjects move gradually, so that the newer endpoints do not process all prompts at once.
     const double part = (progress - kRampStart) / (kFullShareStart - kRampStart);
-    return moveOrder < kCanaryShare + (1 - kCanaryShare) * part;
+    return moveOrder < CanaryShare() + (1 - CanaryShare()) * part;
   }
   const bool hasLowTraffic = progress >= kSessionMoveStart && !hasEvidence;
-  if (moveOrder >= (hasLowTraffic ? kLowTrafficCanaryShare : kCanaryShare) ||
+  if (moveOrder >= (hasLowTraffic ? kLowTrafficCanaryShare : CanaryShare()) ||
       !MayExpose(aRollout, kCanaryShare)) {
     return false;
   }
@@ -211,7 +222,7 @@
     if (!hasOlder || SelectsNewer(*rollout, subject, !aKey.empty(), aNow)) {
       KeepVersion(aOpen, rollout->mOrder.mTarget);
       if (hasOlder && progress < kRampStart) {
-        KeepCanaryEndpoints(aOpen, kCanaryShare);
+        KeepCanaryEndpoints(aOpen, CanaryShare());
       }
       return;
     }
@@ -360,6 +371,14 @@
   return names;
 }
 
+bool RolloutTracker::IsRunning() const
+{
+  return std::any_of(mServices.begin(), mServices.end(), [](const auto& aEntry) {
+    const auto& rollout = aEntry.second.mRollout;
+    return rollout && rollout->mOrder.mState == RolloutState::Running;
+  });
+}
+
 std::vector<SubjectUse> RolloutTracker::UsesInCanary(const Rollout& aRollout, TimePoint aNow) const
 {
   std::vector<SubjectUse> uses;
@@ -368,7 +387,7 @@
   }
   for (const auto& [subject, known] : mSubjects) {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - known.mLastUse);
-    if (age < kUseReportPeriod && MoveOrderOf(subject, aRollout.mOrder.mTarget) < kCanaryShare) {
+    if (age < kUseReportPeriod && MoveOrderOf(subject, aRollout.mOrder.mTarget) < CanaryShare()) {
       uses.push_back({ subject, known.mVersion == aRollout.mOrder.mTarget, age });
     }
   }
--- a/modules/skylarkchute_routing/fleet/RolloutTracker.h
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.h
@@ -118,6 +118,9 @@
   /** Returns the services that have a rollout order. */
   std::vector<ServiceName> Services() const;
 
+  /** Returns whether a rollout of any service is running. */
+  bool IsRunning() const;
+
   /** Sets the number of instances that share the exposure limit. */
   void SetInstances(std::size_t aInstances) { mInstances = aInstances; }
 
@@ -160,6 +163,7 @@
   };
 
   double Progress(const Rollout& aRollout, TimePoint aNow) const;
+  double CanaryShare() const;
   bool MayExpose(const Rollout& aRollout, double aShare) const;
   bool SelectsNewer(const Rollout& aRollout,
                     std::uint64_t aSubject,
