Followers notice a store that goes silent for them alone

The store went silent for machines among which were all three followers. Their watches waited on, as they do when nothing changes, and nobody else watched, so keys that had been revoked stayed valid for 7 s. Ruled out: TCP keep-alive (answered); more followers (a share of the machines covers any constant number now and then). After 1 s without one it starts its watches again and says that it is not served; standbys take over 1 s after the last confirmation. Five in place of six keep trying in an outage, to stay within 8 calls a second at 295 instances.

--- a/modules/skylarkchute_peers/following/StoreFollowing.cpp
+++ b/modules/skylarkchute_peers/following/StoreFollowing.cpp
@@ -60,10 +60,10 @@
 {
 }
 
-void StoreFollowing::OnStoreResult(bool aIsServed, TimePoint aNow)
+void StoreFollowing::OnStoreResult(bool aIsServed, TimePoint aAnsweredAt)
 {
-  if (aIsServed) {
-    mConfirmedAt = aNow;
+  if (aIsServed && (!mConfirmedAt || aAnsweredAt > *mConfirmedAt)) {
+    mConfirmedAt = aAnsweredAt;
   }
   if (mRole != StoreRole::None) {
     mRole = aIsServed ? StoreRole::Follows : StoreRole::Fails;
--- a/modules/skylarkchute_peers/following/StoreFollowing.h
+++ b/modules/skylarkchute_peers/following/StoreFollowing.h
@@ -22,13 +22,13 @@
   static constexpr std::size_t kFollowers = 3;
 
   /** Instances that keep trying while the store serves none of them. */
-  static constexpr std::size_t kMaxFailing = 6;
+  static constexpr std::size_t kMaxFailing = 5;
 
   /** Without a confirmation for this long, an instance no longer relies on the followers. */
   static constexpr std::chrono::milliseconds kBlindTimeout{ 3000 };
 
   /** The same for the instances that are next to follow, which call the followers regularly. */
-  static constexpr std::chrono::milliseconds kStandbyTimeout{ 1200 };
+  static constexpr std::chrono::milliseconds kStandbyTimeout{ 1000 };
 
   /** An instance that starts or wakes waits this long for others to give it the store's state. */
   static constexpr std::chrono::milliseconds kStartupWait{ 1200 };
@@ -37,8 +37,9 @@
      is known to contact; it then follows from the start */
   StoreFollowing(MemberRecord aSelf, bool aIsContact, std::uint64_t aSeed, TimePoint aNow);
 
-  /** Records that the store has served all of this instance's last calls, or has not served one. */
-  void OnStoreResult(bool aIsServed, TimePoint aNow);
+  /** Records whether the store serves this instance.
+      @param aAnsweredAt  when it answered last */
+  void OnStoreResult(bool aIsServed, TimePoint aAnsweredAt);
 
   /** Records that another instance's state was confirmed by the store some time ago.
       @param aAge  time since then */
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -83,6 +83,7 @@
       [this](ObjectKind aKind, const StoreObject& aObject) { mSync.OnObject(aKind, aObject); })
   , mMesh(mLoop, *this, mSelf, mSettings.mSeeds, mRandom())
   , mFollowing(mSelf, IsContact(mSettings), mRandom(), Now())
+  , mStoreProbe(mLoop, mSettings.mStoreAddress, mSelf.mName)
   , mWriter(mLoop, mSettings.mStoreAddress)
   , mContext{ mLoop, mRouter,  mPool,      mCrashProbe, mStartupQueue,
               mLog,  mMetrics, mIsLeaving, mRefusesNew }
@@ -272,6 +273,9 @@
   mPool.CloseExpired(now);
   if (mTickCount % static_cast<std::uint64_t>(PeerMesh::kInterval / kTickInterval) == 0) {
     mMesh.Tick(now);
+    if (mMesh.Members().Role() != StoreRole::None) {
+      mStoreProbe.Tick();
+    }
     if (mRouter.Rollouts().IsRunning()) {
       mMesh.CallAny();
     }
@@ -292,13 +296,34 @@
   }
 }
 
+/** Starts the watches again when the store has gone silent: what it should have answered meanwhile
+    may be lost. */
+void RelayRuntime::RestartIfStoreSilent(TimePoint aNow)
+{
+  const bool wasSilent = std::exchange(mIsStoreSilent, mStoreProbe.IsSilent(aNow));
+  if (!mIsStoreSilent || wasSilent || !mFailedKinds.empty()) {
+    return;
+  }
+  mLog.Write({ &kStoreLost, { { "kind", "all" }, { "reason", "silent" } } });
+  for (const auto kind : kObjectKinds) {
+    mFailedKinds.insert(kind);
+  }
+  for (const auto& it : mWatchers) {
+    it->Restart();
+  }
+}
+
 /** Starts or stops watching the store as mFollowing decides. */
 void RelayRuntime::UpdateStoreRole(TimePoint aNow)
 {
   const bool wasFollowing = mMesh.Members().Role() != StoreRole::None;
-  const bool isServed = mFailedKinds.empty() && mServedKinds.size() == std::size(kObjectKinds);
-  if (wasFollowing && (isServed || !mFailedKinds.empty())) {
-    mFollowing.OnStoreResult(isServed, aNow);
+  const bool isListed = mServedKinds.size() == std::size(kObjectKinds);
+  const bool isServed = mFailedKinds.empty() && isListed && !mStoreProbe.IsSilent(aNow);
+  if (wasFollowing && (isListed || !mFailedKinds.empty())) {
+    mFollowing.OnStoreResult(isServed, mStoreProbe.AnsweredAt());
+  }
+  if (wasFollowing && isListed) {
+    RestartIfStoreSilent(aNow);
   }
   const auto role = mFollowing.Decide(mMesh.Members().LiveMembers(), aNow);
   mMesh.Members().SetRole(role);
@@ -309,6 +334,7 @@
   mLog.Write({ isFollowing ? &kStoreFollowed : &kStoreNotFollowed, {} });
   mFailedKinds.clear();
   mServedKinds.clear();
+  mStoreProbe.Stop();
   for (const auto& it : mWatchers) {
     if (isFollowing) {
       it->Restart();
@@ -583,6 +609,7 @@
 {
   StopHoldingIfStateKnown();
   mServedKinds.insert(aKind);
+  mStoreProbe.OnAnswer(Now());
   const bool hadFailed = mFailedKinds.erase(aKind) > 0;
   SpreadChanges(ChangeSpread::Source::Store);
   if (!hadFailed) {
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -3,6 +3,7 @@
 #include "../callers/CallerServer.h"
 #include "../callers/ControlServer.h"
 #include "../peers/PeerMesh.h"
+#include "../store/StoreProbe.h"
 #include "../store/StoreWatcher.h"
 #include "../store/StoreWriter.h"
 #include "FleetSync.h"
@@ -66,6 +67,7 @@
   void UpdateReadiness();
   void StopHoldingIfStateKnown();
   void UpdateStoreRole(TimePoint aNow);
+  void RestartIfStoreSilent(TimePoint aNow);
   void SpreadChanges(ChangeSpread::Source aSource);
   std::shared_ptr<const PackedChanges> ChangesFor(ObjectKind aKind, const KindState* aKnown);
   void ApplyChanges(ObjectKind aKind, const PackedChanges& aChanges, TimePoint aNow);
@@ -90,8 +92,10 @@
   StoreMirror mMirror;
   PeerMesh mMesh;
   StoreFollowing mFollowing;
+  StoreProbe mStoreProbe;
   StoreWriter mWriter;
   std::vector<std::shared_ptr<StoreWatcher>> mWatchers;
+  bool mIsStoreSilent = false; /**< The watches were started again because of it. */
   bool mIsLeaving = false;
   bool mRefusesNew = false;
   RelayContext mContext;
--- /dev/null
+++ b/modules/skylarkchute_relay/store/StoreProbe.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "../net/HttpCall.h"
+
+#include <platform/StoreCodec.h>
+
+namespace skylarkchute {
+
+/** Finds out whether the store still answers this instance, by cheap reads. A watch that waits for
+   a change looks the same whether nothing has changed or the store has gone silent for this
+    instance alone. */
+class StoreProbe
+{
+public:
+  /** @param aName  of this instance, whose store entry is read */
+  StoreProbe(boost::asio::io_context& aContext,
+             const std::string& aAddress,
+             const std::string& aName);
+
+  /** Reads unless a read is in progress. To be called every kInterval. */
+  void Tick();
+
+  /** Records another answer of the store. */
+  void OnAnswer(TimePoint aNow);
+
+  /** Cancels the read in progress. */
+  void Stop();
+
+  /** Returns when the store answered last. */
+  TimePoint AnsweredAt() const { return mAnsweredAt; }
+
+  /** Returns whether the store has not answered for kSilenceTimeout. */
+  bool IsSilent(TimePoint aNow) const { return aNow - mAnsweredAt >= kSilenceTimeout; }
+
+  static constexpr std::chrono::milliseconds kInterval{ 400 };
+
+  /** Without an answer for this long, the store is taken to be silent. */
+  static constexpr std::chrono::milliseconds kSilenceTimeout{ 1000 };
+
+private:
+  std::string mTarget;
+  std::shared_ptr<HttpCall> mCall;
+  TimePoint mAnsweredAt{};
+};
+
+} // namespace skylarkchute
--- a/tests/skylarkchute_peers/FleetSimulation.h
+++ b/tests/skylarkchute_peers/FleetSimulation.h
@@ -82,6 +82,7 @@
     bool mWasFrozen = false;
     bool mWatches = false; /**< Its watch of the store is served. */
     TimePoint mNextRetry{};
+    TimePoint mAnsweredAt{}; /**< Last answer of the store. */
   };
 
   struct Event
