Relay: exchange of copies and writes to the store in classes of their own

Change: MirrorExchange compares and passes copies of objects, StoreRecorder decides the conditional writes; no behaviour changes. Constants in tests renamed.

--- a/modules/skylarkchute_relay/peers/PeerMesh.h
+++ b/modules/skylarkchute_relay/peers/PeerMesh.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "../net/HttpCall.h"
-#include "PeerExchange.h"
+#include "MirrorExchange.h"
 
 #include <skylarkchute_peers/following/ChangeSpread.h>
 #include <skylarkchute_peers/membership/GossipMembership.h>
@@ -11,9 +11,6 @@
 
 namespace skylarkchute {
 
-/** What an instance last reported of its copies of the objects. */
-using KnownKinds = std::map<ObjectKind, KindState>;
-
 /** Callbacks of the mesh to its owner. */
 class PeerMeshOwner
 {
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -30,16 +30,6 @@
 /** Fraction of the grace period after which the process exits even if requests are in progress. */
 constexpr double kGraceFraction = 0.96;
 
-/** The store entry of an instance that has been dead for this long is deleted. */
-constexpr milliseconds kDeadInstanceTimeout{ 20000 };
-
-/** Delay between the instances that may record a rollout step, in the order of their ranks, so that
-    usually only the first one writes. */
-constexpr milliseconds kRankDelay{ 500 };
-
-/** A conditional write is not repeated before the change had time to come back from the store. */
-constexpr milliseconds kWriteInterval{ 2000 };
-
 /** Without a confirmation for this long, entries may have expired in an outage of the store. */
 constexpr milliseconds kOutageAge{ 1500 };
 
@@ -82,9 +72,16 @@
   , mMirror(
       [this](ObjectKind aKind, const StoreObject& aObject) { mSync.OnObject(aKind, aObject); })
   , mMesh(mLoop, *this, mSelf, mSettings.mSeeds, mRandom())
+  , mMirrorExchange(mMirror)
   , mFollowing(mSelf, IsContact(mSettings), mRandom(), Now())
   , mStoreProbe(mLoop, mSettings.mStoreAddress, mSelf.mName)
-  , mWriter(mLoop, mSettings.mStoreAddress)
+  , mRecorder(mLoop,
+              mSettings.mStoreAddress,
+              mSelf,
+              mMesh.Members(),
+              mMirror,
+              mRouter.Rollouts(),
+              mLog)
   , mContext{ mLoop, mRouter,  mPool,      mCrashProbe, mStartupQueue,
               mLog,  mMetrics, mIsLeaving, mRefusesNew }
   , mCallerServer(mContext)
@@ -289,11 +286,7 @@
     Reload();
   }
   UpdateReadiness();
-  AdvanceRollouts(now);
-  if (mMesh.Members().Role() == StoreRole::Follows) {
-    Register();
-    RemoveDeadInstances(now);
-  }
+  mRecorder.Tick(now);
 }
 
 /** Starts the watches again when the store has gone silent: what it should have answered meanwhile
@@ -373,207 +366,34 @@
   mWasReady = ready;
 }
 
-/** Returns whether a conditional write to an object may be made now, and counts it as made. */
-bool RelayRuntime::MayWrite(const std::string& aObject, TimePoint aNow)
-{
-  auto& next = mNextWriteAt[aObject];
-  if (aNow < next) {
-    return false;
-  }
-  next = aNow + kWriteInterval;
-  return true;
-}
-
-/** Creates or replaces this instance's entry in the store unless it names this incarnation. Only
-    followers have an entry: it shows instances that start, and groups that were cut off from each
-    other, whom to contact. */
-void RelayRuntime::Register()
-{
-  const auto* known = mMirror.Find(ObjectKind::Instances, mSelf.mName);
-  const auto entry = known != nullptr ? DecodeInstance(*known) : std::nullopt;
-  if ((entry && entry->mIncarnation == mSelf.mIncarnation) ||
-      !MayWrite("instance " + mSelf.mName, Now())) {
-    return;
-  }
-  const bool isNew = known == nullptr;
-  const auto target = isNew ? ListTarget(ObjectKind::Instances, {})
-                            : ObjectTarget(ObjectKind::Instances, mSelf.mName);
-  mWriter.Write(
-    isNew ? "POST" : "PUT",
-    target,
-    EncodeInstance(mSelf, isNew ? 0 : known->mRevision),
-    [this](const CallResult& aResult) {
-      mLog.Write({ &kStoreWrite,
-                   { { "object", "instance" }, { "status", std::to_string(aResult.mStatus) } } });
-    });
-}
-
-/** Returns this instance's place among those that may write for a key: the followers that the store
-    serves, or all if there are none. */
-std::size_t RelayRuntime::RankFor(const std::string& aKey) const
-{
-  const auto live = mMesh.Members().LiveMembers();
-  const auto follows = [](const MemberUpdate* aMember) {
-    return aMember->mRole == StoreRole::Follows && aMember->mState == MemberState::Alive;
-  };
-  const bool isFollowing = mMesh.Members().Role() == StoreRole::Follows;
-  const bool haveFollowers = isFollowing || std::any_of(live.begin(), live.end(), follows);
-  std::vector<InstanceId> members;
-  for (const auto* it : live) {
-    if (!haveFollowers || follows(it)) {
-      members.emplace_back(it->mRecord.mName);
-    }
-  }
-  const InstanceId self(mSelf.mName);
-  if (!haveFollowers || isFollowing) {
-    members.push_back(self);
-  }
-  const auto order = RendezvousOrder(aKey, members, members.size());
-  return static_cast<std::size_t>(std::find(order.begin(), order.end(), self) - order.begin());
-}
-
-void RelayRuntime::RemoveDeadInstances(TimePoint aNow)
-{
-  for (const auto& it : mMirror.Snapshot(ObjectKind::Instances).mObjects) {
-    const auto& name = it.mName;
-    if (!mMesh.Members().IsDeadFor(name, kDeadInstanceTimeout, aNow) ||
-        RankFor("remove " + name) != 0 || !MayWrite("instance " + name, aNow)) {
-      continue;
-    }
-    mWriter.Write("DELETE",
-                  ObjectTarget(ObjectKind::Instances, name) +
-                    "?Revision=" + std::to_string(it.mRevision),
-                  {},
-                  [this, name](const CallResult& aResult) {
-                    mLog.Write({ &kStoreWrite,
-                                 { { "object", "dead instance " + name },
-                                   { "status", std::to_string(aResult.mStatus) } } });
-                  });
-  }
-}
-
-void RelayRuntime::AdvanceRollouts(TimePoint aNow)
-{
-  for (const auto& it : mRouter.Rollouts().Services()) {
-    const auto step = mRouter.Rollouts().NextStep(it, aNow);
-    if (step == RolloutStep::None) {
-      mStepSince.erase(it);
-      continue;
-    }
-    const auto* order = mRouter.Rollouts().Order(it);
-    const auto since = mStepSince.try_emplace(it, aNow).first->second;
-    const auto rank = static_cast<std::int64_t>(RankFor("rollout " + it.Value()));
-    // An instance of a higher rank writes only if those before it have not recorded the step.
-    if (aNow - since < kRankDelay * rank || !MayWrite("rollout " + it.Value(), aNow)) {
-      continue;
-    }
-    const auto state =
-      step == RolloutStep::Complete ? RolloutState::Completed : RolloutState::RolledBack;
-    const auto service = it.Value();
-    mWriter.Write("PUT",
-                  StatusTarget(ObjectKind::Rollouts, service),
-                  EncodeRolloutStatus(*order, state),
-                  [this, service](const CallResult& aResult) {
-                    mLog.Write({ &kStoreWrite,
-                                 { { "object", "rollout " + service },
-                                   { "status", std::to_string(aResult.mStatus) } } });
-                  });
-  }
-}
-
 void RelayRuntime::FillExchange(PeerExchange& aExchange,
                                 const KnownKinds* aKnown,
                                 std::size_t aMaxBytes)
 {
   const auto now = Now();
   aExchange.mConfirmationAge = mFollowing.ConfirmationAge(now);
-  for (const auto kind : kObjectKinds) {
-    if (!mMirror.IsKnown(kind)) {
-      continue;
-    }
-    aExchange.mKinds[kind] = { mMirror.AsOf(kind), mMirror.Digest(kind) };
-    const auto found = aKnown == nullptr ? KnownKinds::const_iterator() : aKnown->find(kind);
-    const auto* theirs = aKnown == nullptr || found == aKnown->end() ? nullptr : &found->second;
-    // An instance of which nothing is known may hold everything; it asks for what it lacks.
-    const bool mayNeedNothing = aKnown == nullptr;
-    const auto changes = mayNeedNothing ? nullptr : ChangesFor(kind, theirs);
-    if (changes && changes->mText.size() <= aMaxBytes) {
-      aExchange.mChanges[kind] = changes;
-    }
-  }
+  mMirrorExchange.Fill(aExchange, aKnown, aMaxBytes);
   aExchange.mEvidence = mRouter.Rollouts().Evidence(now);
   aExchange.mCrashes = mRouter.Suspects().Recent(now);
 }
 
-/** Returns what an instance lacks of a kind, or null when it lacks nothing.
-    @param aKnown  what it last reported; null when it holds nothing or is unknown */
-std::shared_ptr<const PackedChanges> RelayRuntime::ChangesFor(ObjectKind aKind,
-                                                              const KindState* aKnown)
-{
-  const auto asOf = mMirror.AsOf(aKind);
-  if (aKnown != nullptr && (aKnown->mDigest == mMirror.Digest(aKind) || aKnown->mAsOf >= asOf)) {
-    return nullptr;
-  }
-  const auto changes =
-    aKnown == nullptr ? std::nullopt : mMirror.ChangesSince(aKind, aKnown->mAsOf);
-  auto& packed = mPacked[{ aKind, changes.has_value() }];
-  const bool isCached =
-    packed && packed->mAsOf == asOf && (!changes || packed->mSince == changes->mSince);
-  if (!isCached) {
-    packed = std::make_shared<const PackedChanges>(changes ? PackChanges(*changes)
-                                                           : PackSnapshot(mMirror.Snapshot(aKind)));
-  }
-  return packed;
-}
-
 bool RelayRuntime::IsBehind(const KnownKinds& aKinds) const
 {
-  return std::any_of(aKinds.begin(), aKinds.end(), [this](const auto& aEntry) {
-    const auto& [kind, theirs] = aEntry;
-    return !mMirror.IsKnown(kind) ||
-           (theirs.mDigest != mMirror.Digest(kind) && theirs.mAsOf > mMirror.AsOf(kind));
-  });
+  return mMirrorExchange.IsBehind(aKinds);
 }
 
 /** Tells other instances of the objects if they have changed since the last time. */
 void RelayRuntime::SpreadChanges(ChangeSpread::Source aSource)
 {
-  bool hasChanged = false;
-  for (const auto kind : kObjectKinds) {
-    auto& spread = mSpreadStates[kind];
-    hasChanged = hasChanged || spread.mDigest != mMirror.Digest(kind);
-    spread = { mMirror.AsOf(kind), mMirror.Digest(kind) };
-  }
-  if (hasChanged) {
+  if (mMirrorExchange.TakeChanged()) {
     mMesh.SpreadChange(aSource);
   }
 }
 
-void RelayRuntime::ApplyChanges(ObjectKind aKind, const PackedChanges& aChanges, TimePoint aNow)
-{
-  const bool isUsable =
-    aChanges.mAsOf > mMirror.AsOf(aKind) &&
-    (aChanges.mIsSnapshot || (mMirror.IsKnown(aKind) && aChanges.mSince <= mMirror.AsOf(aKind)));
-  const auto objects = isUsable ? UnpackObjects(aChanges) : std::nullopt;
-  if (!objects) {
-    return;
-  }
-  if (aChanges.mIsSnapshot) {
-    mMirror.Replace(aKind, { aChanges.mAsOf, *objects }, aNow, OriginOfList());
-  } else {
-    mMirror.Apply(aKind, KindChanges{ aChanges.mSince, aChanges.mAsOf, *objects }, aNow);
-  }
-}
-
 void RelayRuntime::OnExchange(const PeerExchange& aExchange)
 {
   const auto now = Now();
-  for (const auto& [kind, changes] : aExchange.mChanges) {
-    ApplyChanges(kind, *changes, now);
-  }
-  for (const auto& [kind, state] : aExchange.mKinds) {
-    mMirror.Confirm(kind, state.mDigest, state.mAsOf);
-  }
+  mMirrorExchange.Apply(aExchange, OriginOfList(), now);
   if (aExchange.mConfirmationAge) {
     mFollowing.OnConfirmation(*aExchange.mConfirmationAge, now);
   }
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -2,12 +2,13 @@
 
 #include "../callers/CallerServer.h"
 #include "../callers/ControlServer.h"
+#include "../peers/MirrorExchange.h"
 #include "../peers/PeerMesh.h"
 #include "../store/StoreProbe.h"
 #include "../store/StoreWatcher.h"
-#include "../store/StoreWriter.h"
 #include "FleetSync.h"
 #include "SettingsSource.h"
+#include "StoreRecorder.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <skylarkchute_peers/following/StoreFollowing.h>
@@ -69,13 +70,6 @@
   void UpdateStoreRole(TimePoint aNow);
   void RestartIfStoreSilent(TimePoint aNow);
   void SpreadChanges(ChangeSpread::Source aSource);
-  std::shared_ptr<const PackedChanges> ChangesFor(ObjectKind aKind, const KindState* aKnown);
-  void ApplyChanges(ObjectKind aKind, const PackedChanges& aChanges, TimePoint aNow);
-  bool MayWrite(const std::string& aObject, TimePoint aNow);
-  void Register();
-  void RemoveDeadInstances(TimePoint aNow);
-  void AdvanceRollouts(TimePoint aNow);
-  std::size_t RankFor(const std::string& aKey) const;
 
   RelaySettings mSettings;
   SettingsSource& mSettingsSource;
@@ -91,9 +85,10 @@
   FleetSync mSync;
   StoreMirror mMirror;
   PeerMesh mMesh;
+  MirrorExchange mMirrorExchange;
   StoreFollowing mFollowing;
   StoreProbe mStoreProbe;
-  StoreWriter mWriter;
+  StoreRecorder mRecorder;
   std::vector<std::shared_ptr<StoreWatcher>> mWatchers;
   bool mIsStoreSilent = false; /**< The watches were started again because of it. */
   bool mIsLeaving = false;
@@ -108,11 +103,6 @@
   boost::asio::steady_timer mStopTimer;
   std::set<ObjectKind> mFailedKinds; /**< Kinds whose last list or watch call failed. */
   std::set<ObjectKind> mServedKinds; /**< Kinds that were listed since this instance follows. */
-  std::map<ObjectKind, KindState> mSpreadStates; /**< The states that others were last told of. */
-  /** The last snapshot and the last changes that were packed, by kind and whether changes. */
-  std::map<std::pair<ObjectKind, bool>, std::shared_ptr<const PackedChanges>> mPacked;
-  std::map<std::string, TimePoint> mNextWriteAt; /**< By object. */
-  std::map<ServiceName, TimePoint> mStepSince;   /**< When a rollout's next step became due. */
   TimePoint mLastTick{};
   TimePoint mStopRequestedAt{};
   std::uint64_t mTickCount = 0;
--- /dev/null
+++ b/modules/skylarkchute_relay/runtime/StoreRecorder.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "../store/StoreMirror.h"
+#include "../store/StoreWriter.h"
+
+#include <skylarkchute_peers/membership/GossipMembership.h>
+#include <skylarkchute_routing/fleet/Fleet.h>
+
+namespace skylarkchute {
+
+/** Decides which conditional writes this instance makes to the store: its own entry, the removal of
+    dead instances' entries, and the steps of rollouts. Several instances may decide the same; the
+    conditions make that harmless. */
+class StoreRecorder
+{
+public:
+  StoreRecorder(boost::asio::io_context& aContext,
+                const std::string& aAddress,
+                const MemberRecord& aSelf,
+                const GossipMembership& aMembers,
+                const StoreMirror& aMirror,
+                const RolloutTracker& aRollouts,
+                const EventLog& aLog);
+
+  /** Makes the writes that are due. To be called every few hundred milliseconds. */
+  void Tick(TimePoint aNow);
+
+private:
+  bool MayWrite(const std::string& aObject, TimePoint aNow);
+  std::size_t RankFor(const std::string& aKey) const;
+  void Register(TimePoint aNow);
+  void RemoveDeadInstances(TimePoint aNow);
+  void AdvanceRollouts(TimePoint aNow);
+
+  const MemberRecord& mSelf;
+  const GossipMembership& mMembers;
+  const StoreMirror& mMirror;
+  const RolloutTracker& mRollouts;
+  const EventLog& mLog;
+  StoreWriter mWriter;
+  std::map<std::string, TimePoint> mNextWriteAt; /**< By object. */
+  std::map<ServiceName, TimePoint> mStepSince;   /**< When a rollout's next step became due. */
+};
+
+} // namespace skylarkchute
--- a/tests/skylarkchute_peers/FleetSimulation.cpp
+++ b/tests/skylarkchute_peers/FleetSimulation.cpp
@@ -255,7 +255,7 @@
   return indices;
 }
 
-milliseconds FleetSimulation::LongestConfirmationAge() const
+milliseconds FleetSimulation::MaxConfirmationAge() const
 {
   milliseconds longest{ 0 };
   for (const auto& it : mNodes) {
--- a/tests/skylarkchute_peers/FleetSimulation.h
+++ b/tests/skylarkchute_peers/FleetSimulation.h
@@ -66,7 +66,7 @@
 
   /** Returns the longest time since a running instance's state was confirmed; instances without a
       confirmation count as an hour. */
-  std::chrono::milliseconds LongestConfirmationAge() const;
+  std::chrono::milliseconds MaxConfirmationAge() const;
 
   GossipMembership& Members(std::size_t aIndex) { return *mNodes[aIndex].mMembers; }
 
--- a/tests/skylarkchute_peers/StoreFollowingTests.cpp
+++ b/tests/skylarkchute_peers/StoreFollowingTests.cpp
@@ -15,11 +15,11 @@
 
 /** Bound of the deployments for a configuration to be in force, the shortest for fleets of some
     size. An instance must not be without a follower's state for longer. */
-constexpr milliseconds kLongestBlindTime{ 4000 };
+constexpr milliseconds kMaxBlindTime{ 4000 };
 
 /** Of the shortest bound for a configuration to be in force, 2 s, this leaves 0.4 s to list and to
     spread it. */
-constexpr milliseconds kLongestSilence{ 1600 };
+constexpr milliseconds kMaxSilence{ 1600 };
 
 /** Most calls a second of the whole fleet while the store is away. */
 constexpr std::size_t kMaxCallsPerSecond = 8;
@@ -38,7 +38,7 @@
   fleet.SetLoss(0.01);
   fleet.Run(seconds(60));
   CHECK(fleet.StoreCalls() == calls);
-  CHECK(fleet.LongestConfirmationAge() < kLongestBlindTime);
+  CHECK(fleet.MaxConfirmationAge() < kMaxBlindTime);
 }
 
 TEST_CASE("followers that stop all at once are replaced in time")
@@ -58,11 +58,11 @@
   milliseconds longest{ 0 };
   for (int n = 0; n < 100; ++n) {
     fleet.Run(milliseconds(100));
-    longest = std::max(longest, fleet.LongestConfirmationAge());
+    longest = std::max(longest, fleet.MaxConfirmationAge());
   }
   INFO("longest time without confirmation: " << longest.count() << " ms");
-  CHECK(longest < kLongestBlindTime);
-  CHECK(fleet.LongestConfirmationAge() < kLongestBlindTime);
+  CHECK(longest < kMaxBlindTime);
+  CHECK(fleet.MaxConfirmationAge() < kMaxBlindTime);
 }
 
 TEST_CASE("followers for which the store goes silent are replaced before a change is overdue")
@@ -77,7 +77,7 @@
   const auto first = fleet.WithRole(StoreRole::Follows);
   const std::set<std::size_t> silent(first.begin(), first.end());
   fleet.SetStoreServes([&](std::size_t aIndex) { return silent.count(aIndex) == 0; });
-  fleet.Run(kLongestSilence);
+  fleet.Run(kMaxSilence);
   const auto now = fleet.WithRole(StoreRole::Follows);
   CHECK(std::any_of(
     now.begin(), now.end(), [&](std::size_t aIndex) { return silent.count(aIndex) == 0; }));
@@ -94,7 +94,7 @@
   fleet.SetStoreServes([&](std::size_t aIndex) { return refused.count(aIndex) == 0; });
   fleet.Run(seconds(10));
   CHECK(fleet.WithRole(StoreRole::Follows).size() >= StoreFollowing::kFollowers);
-  CHECK(fleet.LongestConfirmationAge() < kLongestBlindTime);
+  CHECK(fleet.MaxConfirmationAge() < kMaxBlindTime);
   fleet.Run(seconds(10));
   CHECK(fleet.WithRole(StoreRole::Follows).size() == StoreFollowing::kFollowers);
 }
@@ -111,7 +111,7 @@
   CHECK(fleet.StoreCalls() - before <= 20 * kMaxCallsPerSecond);
   fleet.SetStoreServes([](std::size_t) { return true; });
   fleet.Run(seconds(6));
-  CHECK(fleet.LongestConfirmationAge() < kLongestBlindTime);
+  CHECK(fleet.MaxConfirmationAge() < kMaxBlindTime);
   fleet.Run(seconds(20));
   CHECK(fleet.WithRole(StoreRole::Follows).size() == StoreFollowing::kFollowers);
 }
@@ -124,7 +124,7 @@
   fleet.SetStoreServes([](std::size_t aIndex) { return aIndex % 10 == 9; });
   fleet.Run(seconds(15));
   CHECK_FALSE(fleet.WithRole(StoreRole::Follows).empty());
-  CHECK(fleet.LongestConfirmationAge() < kLongestBlindTime);
+  CHECK(fleet.MaxConfirmationAge() < kMaxBlindTime);
 }
 
 TEST_CASE("each of two groups that are cut off from each other has followers of its own")
@@ -134,7 +134,7 @@
   fleet.Run(kStartTime);
   fleet.CutBelow(35);
   fleet.Run(seconds(15));
-  CHECK(fleet.LongestConfirmationAge() < kLongestBlindTime);
+  CHECK(fleet.MaxConfirmationAge() < kMaxBlindTime);
   fleet.CutBelow(0);
   fleet.Run(seconds(30));
   CHECK(fleet.WithRole(StoreRole::Follows).size() == StoreFollowing::kFollowers);
