--- a/modules/skylarkchute_relay/requests/StartupQueue.cpp
+++ b/modules/skylarkchute_relay/requests/StartupQueue.cpp
@@ -6,7 +6,7 @@
 
 /** Reading the platform's state takes 20 to 100 ms when the platform responds; after 500 ms
     it counts as unavailable. Callers time out after one second. */
-constexpr std::chrono::milliseconds kMaxHoldTime{ 500 };
+constexpr std::chrono::milliseconds kMaxHoldTime{ 1000 };
 
 } // namespace
 
--- a/modules/skylarkchute_relay/requests/StartupQueue.h
+++ b/modules/skylarkchute_relay/requests/StartupQueue.h
@@ -11,10 +11,10 @@
 /** Holds the requests that arrive before this process has read the platform's state.
 
     This covers a simultaneous restart of all instances: callers reconnect within milliseconds of
-    the start, but the state is available only up to 100 ms later, and a refused caller would retry
-    only much later than that. The hold is limited to 500 ms. If the state is not available by
-    then, the held requests are started without it, and later ones are no longer held, so that they
-    are refused at once. */
+    the start, but the state comes from the seeds, which may start half a second later, and a
+    refused caller would retry only much later than that. The hold is limited to 1 s. If the state
+    is not available by then, the held requests are started without it, and later ones are no longer
+    held, so that they are refused at once. */
 class StartupQueue
 {
 public:
--- a/tests/skylarkchute_relay/CallerTests.cpp
+++ b/tests/skylarkchute_relay/CallerTests.cpp
@@ -129,3 +129,14 @@
   CHECK(answer->find("Connection: close") != std::string::npos);
   CHECK(endpoint.mRequests.empty());
 }
+
+TEST_CASE("requests are held at the start for as long as the seeds may take to start and to list")
+{
+  // All relays start again at the same moment, the seeds up to half a second after the others,
+  // which have their configuration from them 0.8 s after their own start.
+  RelayFixture fixture;
+  fixture.mStartupQueue.StartHolding();
+  const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(850);
+  fixture.RunUntil([end] { return std::chrono::steady_clock::now() >= end; });
+  CHECK(fixture.mStartupQueue.IsHolding());
+}
