Attempts that time out count against the version of a rollout

Callers saw a service that stayed several times slower: the rollout of the slow version was completed and kept. Cause: a version's answers counted at their first byte, and slow ones were given up before it, so only the quick ones were evidence. Change: a timed-out attempt is a slow answer of its version, for the older version too. Ruled out: slowness after the first byte only, a baseline spoilt by the newer version.

--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -340,9 +340,12 @@
         row->mHealth.OnUnreachable(aNow);
       }
       return;
+    case RelayOutcome::TimedOut:
+      // Otherwise only the answers that were quick enough would count.
+      mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 0, 1 });
+      break;
     case RelayOutcome::Lost:
     case RelayOutcome::Damaged:
-    case RelayOutcome::TimedOut:
       break;
   }
   if (row != nullptr) {
--- a/modules/skylarkchute_routing/fleet/RolloutEvaluator.h
+++ b/modules/skylarkchute_routing/fleet/RolloutEvaluator.h
@@ -12,7 +12,7 @@
 {
   std::uint64_t mAnswers = 0;
   std::uint64_t mFailures = 0; /**< Answers in which the endpoint itself reported a failure. */
-  std::uint64_t mSlow = 0;     /**< Answers several times slower than usual. */
+  std::uint64_t mSlow = 0;     /**< Answers several times slower than usual, or given up. */
 
   VersionCounts& operator+=(const VersionCounts& aOther);
   friend VersionCounts operator-(const VersionCounts& aLeft, const VersionCounts& aRight);
--- a/tests/skylarkchute_routing/RolloutTrackerTests.cpp
+++ b/tests/skylarkchute_routing/RolloutTrackerTests.cpp
@@ -144,6 +144,34 @@
   CHECK(early.mNewer + late.mNewer < 0.15 * 24 * 40 + 30);
 }
 
+TEST_CASE("rollout: a version whose slow answers are given up before they begin is rolled back")
+{
+  // Only the quick half of its answers was counted, so the rollout was completed.
+  FleetFixture fleet;
+  fleet.AddEndpoints("old", 4);
+  fleet.AddEndpoints("new", 4, "v2");
+  fleet.OrderRollout("v2", kPeriod);
+  constexpr milliseconds kGap{ 25 };
+  int sent = 0;
+  int newer = 0;
+  for (milliseconds at{ 0 }; at < kPeriod; at += kGap) {
+    fleet.mNow += kGap;
+    auto plan = fleet.Admit("/chat/1", "s" + std::to_string(sent++ % 400));
+    const auto attempt = fleet.Attempt(plan);
+    fleet.mRouter.OnSent(plan, attempt, fleet.mNow);
+    const bool isNewer = attempt.mVersion == "v2";
+    const bool timesOut = isNewer && newer % 2 == 0;
+    newer += isNewer ? 1 : 0;
+    if (!timesOut) {
+      fleet.mRouter.OnFirstByte(plan, attempt, milliseconds(50), fleet.mNow);
+    }
+    fleet.mRouter.OnEnded(
+      plan, attempt, timesOut ? RelayOutcome::TimedOut : RelayOutcome::Answered, fleet.mNow);
+  }
+  CHECK(Step(fleet) == RolloutStep::RollBack);
+  CHECK(newer <= 0.15 * sent + 30);
+}
+
 TEST_CASE("rollout: a subject in use stays on the older version through the first half")
 {
   FleetFixture fleet;
