Store retries are answered at once, and watchers catch up when a silent store answers again

Callers may have been served by an old configuration after a second outage of the store; revoked keys would have stayed valid. Cause: a retry was a watch that waits for a change. Sent into a silent store it is never answered and ends after 31.5 s; sent after its return it ends with the next change. Until then the kind counts as not served, and a new silence is looked for only while all kinds are served. Evidence: run-relays with the stand-in's new switch silent: 2 kinds unserved 4 s after the store is back, 0 wanted. Change: retries return at once; watchers catch up when the store falls silent and when it answers again. Ruled out: a shorter limit for retries alone (the relay stays unserved until a change).

--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -293,20 +293,26 @@
   mRecorder.Tick(now);
 }
 
-/** Starts the watches again when the store has gone silent: what it should have answered meanwhile
-    may be lost. */
-void RelayRuntime::RestartIfStoreSilent(TimePoint aNow)
+/** Makes the watchers catch up when the store falls silent, since what it should have answered
+    meanwhile may be lost, and again once it answers: a call that was made in between is never
+    answered either. */
+void RelayRuntime::UpdateStoreSilence(TimePoint aNow)
 {
-  const bool wasSilent = std::exchange(mIsStoreSilent, mStoreProbe.IsSilent(aNow));
-  if (!mIsStoreSilent || wasSilent || !mFailedKinds.empty()) {
+  const bool isSilent = mStoreProbe.IsSilent(aNow);
+  if (std::exchange(mIsStoreSilent, isSilent) == isSilent) {
     return;
   }
-  mLog.Write({ &kStoreLost, { { "kind", "all" }, { "reason", "silent" } } });
-  for (const auto kind : kObjectKinds) {
-    mFailedKinds.insert(kind);
+  if (isSilent && mFailedKinds.empty()) {
+    mLog.Write({ &kStoreLost, { { "kind", "all" }, { "reason", "silent" } } });
   }
   for (const auto& it : mWatchers) {
-    it->Restart();
+    const bool hasFailed = mFailedKinds.count(it->Kind()) > 0;
+    if (isSilent) {
+      mFailedKinds.insert(it->Kind());
+    }
+    if (hasFailed != isSilent) {
+      it->Refresh();
+    }
   }
 }
 
@@ -320,7 +326,7 @@
     mFollowing.OnStoreResult(isServed, mStoreProbe.AnsweredAt());
   }
   if (wasFollowing && isListed) {
-    RestartIfStoreSilent(aNow);
+    UpdateStoreSilence(aNow);
   }
   const auto role = mFollowing.Decide(mMesh.Members().LiveMembers(), aNow);
   mMesh.Members().SetRole(role);
@@ -331,6 +337,7 @@
   mLog.Write({ isFollowing ? &kStoreFollowed : &kStoreNotFollowed, {} });
   mFailedKinds.clear();
   mServedKinds.clear();
+  mIsStoreSilent = false;
   mStoreProbe.Stop();
   for (const auto& it : mWatchers) {
     if (isFollowing) {
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -68,7 +68,7 @@
   void UpdateReadiness();
   void StopHoldingIfStateKnown();
   void UpdateStoreRole(TimePoint aNow);
-  void RestartIfStoreSilent(TimePoint aNow);
+  void UpdateStoreSilence(TimePoint aNow);
   void SpreadChanges(ChangeSpread::Source aSource);
 
   RelaySettings mSettings;
--- a/modules/skylarkchute_relay/store/StoreWatcher.cpp
+++ b/modules/skylarkchute_relay/store/StoreWatcher.cpp
@@ -14,6 +14,10 @@
 constexpr milliseconds kWatchTimeoutMargin{ 1500 };
 constexpr milliseconds kListTimeout{ 2500 };
 
+/** Wait of a watch that only catches up, so that its answer shows at once that the store serves the
+    kind. */
+constexpr milliseconds kCatchUpWait{ 1 };
+
 /** Pause after a failed call, doubled for each further consecutive failure. Jitter shortens it to
     between half and the full time. */
 constexpr milliseconds kInitialBackoff{ 120 };
@@ -74,6 +78,16 @@
   }
 }
 
+void StoreWatcher::Refresh()
+{
+  if (mIsStopped) {
+    return;
+  }
+  mPauseTimer.cancel();
+  mCall->Cancel();
+  Retry();
+}
+
 void StoreWatcher::Stop()
 {
   mIsStopped = true;
@@ -115,19 +129,20 @@
   mMirror.Replace(mKind, mListing, std::chrono::steady_clock::now(), origin);
   mListing = KindSnapshot{};
   mListener.OnStoreSuccess(mKind);
-  Watch();
+  Watch(kWatchWait, kWatchWait + kWatchTimeoutMargin);
 }
 
-void StoreWatcher::Watch()
+/** @param aWait  time after which the store answers without a change */
+void StoreWatcher::Watch(milliseconds aWait, milliseconds aTimeout)
 {
   if (mIsStopped) {
     return;
   }
   mCall->Start(
     "GET",
-    WatchTarget(mKind, mWatchRevision, kWatchWait),
+    WatchTarget(mKind, mWatchRevision, aWait),
     {},
-    kWatchWait + kWatchTimeoutMargin,
+    aTimeout,
     [self = shared_from_this()](const CallResult& aResult) { self->OnWatched(aResult); });
 }
 
@@ -148,13 +163,13 @@
   mMirror.Apply(mKind, *page, std::chrono::steady_clock::now());
   mListener.OnStoreSuccess(mKind);
   if (page->mObjects.empty()) {
-    Watch();
+    Watch(kWatchWait, kWatchWait + kWatchTimeoutMargin);
     return;
   }
   mPauseTimer.expires_after(CoalescingDelay(mKind));
   mPauseTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
     if (!aError) {
-      self->Watch();
+      self->Watch(kWatchWait, kWatchWait + kWatchTimeoutMargin);
     }
   });
 }
@@ -190,7 +205,7 @@
   if (mKind == ObjectKind::Endpoints || mWatchRevision == 0) {
     List({});
   } else {
-    Watch();
+    Watch(kCatchUpWait, kListTimeout);
   }
 }
 
--- a/modules/skylarkchute_relay/store/StoreWatcher.h
+++ b/modules/skylarkchute_relay/store/StoreWatcher.h
@@ -42,12 +42,18 @@
   /** Tries again now if the last call failed. */
   void RetryNow();
 
+  /** Cancels the call in progress, whose answer may be lost, and catches up with the store. */
+  void Refresh();
+
+  /** Returns the kind that it watches. */
+  ObjectKind Kind() const { return mKind; }
+
   /** Cancels the call in progress and makes no further ones until Restart(). */
   void Stop();
 
 private:
   void List(const std::string& aAfter);
-  void Watch();
+  void Watch(std::chrono::milliseconds aWait, std::chrono::milliseconds aTimeout);
   void OnListed(const CallResult& aResult);
   void OnWatched(const CallResult& aResult);
   void RetryAfterFailure(const CallResult& aResult);
--- a/standins/users_platform/UsersStoreStandIn.cpp
+++ b/standins/users_platform/UsersStoreStandIn.cpp
@@ -21,6 +21,9 @@
 /** An endpoint is removed after it misses three heartbeats, which are sent every 500 ms. */
 constexpr milliseconds kRenewalTimeout{ 1500 };
 
+/** How long a call is held that is never answered; callers give up before. */
+constexpr milliseconds kSilentHold{ 40000 };
+
 /** Longest wait of a watch. */
 constexpr std::uint64_t kMaxWatchWaitMs = 30000;
 
@@ -42,10 +45,16 @@
             [this](Request& aRequest, Response& aResponse) { Handle(aRequest, aResponse); })
 {
   mSwitches["busy"] = false;
+  mSwitches["silent"] = false;
 }
 
 UsersStoreStandIn::~UsersStoreStandIn()
 {
+  {
+    const std::lock_guard lock(mMutex);
+    mIsStopping = true;
+  }
+  mStopped.notify_all();
   mStore.DropHistory(); // Ends pending watches.
 }
 
@@ -55,9 +64,11 @@
     HandleControl(aRequest, aResponse);
     return;
   }
+  std::uint64_t silences = 0;
   {
     const std::lock_guard lock(mMutex);
     ++mCalls;
+    silences = mSilences;
     if (mSwitches["busy"].asBool()) {
       Respond(aResponse, kUnavailable, Json::Value(Json::objectValue));
       return;
@@ -65,9 +76,24 @@
   }
   RemoveExpiredEndpoints();
   const auto outcome = DispatchRequest(aRequest);
+  if (WithholdIfSilent(silences)) {
+    return;
+  }
   Respond(aResponse, outcome.mStatus, outcome.mBody);
 }
 
+/** Holds a call that arrived in a silence, or waited when one began.
+    @returns whether the call must not be answered */
+bool UsersStoreStandIn::WithholdIfSilent(std::uint64_t aSilencesAtArrival)
+{
+  std::unique_lock lock(mMutex);
+  if (!mSwitches["silent"].asBool() && mSilences == aSilencesAtArrival) {
+    return false;
+  }
+  mStopped.wait_for(lock, kSilentHold, [this] { return mIsStopping; });
+  return true;
+}
+
 void UsersStoreStandIn::HandleControl(Request& aRequest, Response& aResponse)
 {
   const auto& path = aRequest.getURI();
@@ -79,7 +105,9 @@
   const auto changes = ReadJson(aRequest);
   const std::lock_guard lock(mMutex);
   if (path == "/standin/switches") {
+    const bool wasSilent = mSwitches["silent"].asBool();
     ApplySwitches(mSwitches, changes);
+    mSilences += mSwitches["silent"].asBool() && !wasSilent ? 1 : 0;
     Respond(aResponse, kOk, mSwitches);
     return;
   }
--- a/standins/users_platform/UsersStoreStandIn.h
+++ b/standins/users_platform/UsersStoreStandIn.h
@@ -33,6 +33,7 @@
 
   void Handle(Request& aRequest, Response& aResponse);
   void HandleControl(Request& aRequest, Response& aResponse);
+  bool WithholdIfSilent(std::uint64_t aSilencesAtArrival);
   UsersStore::Outcome DispatchRequest(Request& aRequest);
   UsersStore::Outcome Read(const std::string& aKind,
                            const std::string& aName,
@@ -45,6 +46,9 @@
   Json::Value mSwitches;
   std::map<std::string, std::chrono::steady_clock::time_point> mLastRenewal; /**< By endpoint. */
   std::uint64_t mCalls = 0;
+  std::uint64_t mSilences = 0; /**< How often the store went silent. */
+  bool mIsStopping = false;
+  std::condition_variable mStopped;
   StandInServer mServer;
 };
 
--- a/tests/skylarkchute_relay/StoreWatcherTests.cpp
+++ b/tests/skylarkchute_relay/StoreWatcherTests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <skylarkchute_relay/store/StoreWatcher.h>
 
+#include <algorithm>
 #include <set>
 
 using namespace skylarkchute;
@@ -50,6 +51,11 @@
                          const bool isWatch = aRequest.find("Watch=") != std::string::npos;
                          if (mIsAway) {
                            WriteAll(aSocket, "HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n");
+                         } else if (isWatch && aRequest.find("WaitMs=30000") == std::string::npos) {
+                           const std::string body = R"({"events":[],"AsOf":7})";
+                           WriteAll(aSocket,
+                                    "HTTP/1.1 200 -\r\nContent-Length: " +
+                                      std::to_string(body.size()) + "\r\n\r\n" + body);
                          } else if (!isWatch) {
                            const std::string body = R"({"Items":[],"HasMore":false,"AsOf":7})";
                            WriteAll(aSocket,
@@ -83,3 +89,29 @@
     it->Stop();
   }
 }
+
+TEST_CASE("once the store is back, every kind is served again without waiting for a change")
+{
+  // A retry that waited for a change left a kind unserved for up to 30 s, in which the store going
+  // silent again was not noticed.
+  WatcherFixture fixture;
+  fixture.mIsAway = false;
+  for (const auto& it : fixture.mWatchers) {
+    it->Restart();
+  }
+  REQUIRE(fixture.mRelay.RunUntil([&] {
+    return std::all_of(std::begin(kObjectKinds), std::end(kObjectKinds), [&](ObjectKind aKind) {
+      return fixture.mMirror.IsKnown(aKind);
+    });
+  }));
+  fixture.mIsAway = true;
+  for (const auto& it : fixture.mWatchers) {
+    it->Restart();
+  }
+  REQUIRE(fixture.mRelay.RunUntil([&] { return fixture.mFailed.size() == 4; }));
+  fixture.mIsAway = false;
+  CHECK(fixture.mRelay.RunUntil([&] { return fixture.mFailed.empty(); }));
+  for (const auto& it : fixture.mWatchers) {
+    it->Stop();
+  }
+}
