Endpoints that say that they leave get no new requests

Cause: Server-Leaving was not read. Change: EndpointNotices keeps it until the endpoint starts again; the endpoint counts as not open, idle connections to it are closed.

--- a/modules/skylarkchute_relay/events/RelayEvents.cpp
+++ b/modules/skylarkchute_relay/events/RelayEvents.cpp
@@ -9,7 +9,8 @@
            &kObjectIgnored,       &kEndpointChanged, &kRolloutChanged, &kRolloutStopped,
            &kStoreLost,           &kStoreRegained,   &kStoreWrite,     &kStoreFollowed,
            &kStoreNotFollowed,    &kPeerLost,        &kPeerRegained,   &kRelayAttemptFailed,
-           &kRelayRequestRefused, &kAnswerBegun,     &kEndpointDown,   &kEndpointLimited };
+           &kRelayRequestRefused, &kAnswerBegun,     &kEndpointDown,   &kEndpointLimited,
+           &kEndpointLeaving };
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -147,6 +147,13 @@
   "names none any more."
 };
 
+inline constexpr EventDescription kEndpointLeaving{
+  1145,
+  EventLevel::Info,
+  "endpoint-leaving",
+  "An endpoint said in an answer that it leaves; it gets no new requests."
+};
+
 /** Returns all events of this module. */
 std::vector<const EventDescription*> RelayEvents();
 
--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -176,15 +176,23 @@
     nothing of it, and one that is not valid does not withdraw what it said before. */
 void RelayedRequest::RecordNotice()
 {
-  const auto& notice = mEndpointHead.mNotice;
-  const bool isOwnAnswer = mEndpointHead.mRequestId == mId;
-  if (mEndpointHead.mIsMisdirected || (!notice.mLimit && !isOwnAnswer) ||
-      !mContext.mRouter.OnNotice(*mAttempt, notice, Now())) {
+  auto notice = mEndpointHead.mNotice;
+  if (mEndpointHead.mIsMisdirected) {
     return;
   }
-  mContext.mLog.Write({ &kEndpointLimited,
-                        { { "endpoint", mAttempt->mEndpoint.Value() },
-                          { "limit", notice.mLimit ? WriteNumber(*notice.mLimit) : "none" } } });
+  if (mEndpointHead.mRequestId != mId && !notice.mLimit) {
+    notice.mKeepsLimit = true;
+  }
+  const auto change = mContext.mRouter.OnNotice(*mAttempt, notice, Now());
+  if (change.mBeganToLeave) {
+    mContext.mLog.Write({ &kEndpointLeaving, { { "endpoint", mAttempt->mEndpoint.Value() } } });
+    mContext.mPool.CloseIdleConnections(mAttempt->mEndpoint);
+  }
+  if (change.mLimit) {
+    mContext.mLog.Write({ &kEndpointLimited,
+                          { { "endpoint", mAttempt->mEndpoint.Value() },
+                            { "limit", notice.mLimit ? WriteNumber(*notice.mLimit) : "none" } } });
+  }
 }
 
 void RelayedRequest::SwitchToLargerModel()
--- a/modules/skylarkchute_relay/runtime/RelayStatus.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayStatus.cpp
@@ -24,7 +24,7 @@
   if (aRow.mMissingSince) {
     return "lapsed";
   }
-  if (aRow.mEntry.mDraining) {
+  if (!aRow.IsOpen()) {
     return "draining";
   }
   if (aRow.mNotices.Limit()) {
--- a/modules/skylarkchute_routing/fleet/EndpointNotices.cpp
+++ b/modules/skylarkchute_routing/fleet/EndpointNotices.cpp
@@ -4,10 +4,20 @@
 
 using std::chrono::milliseconds;
 
-bool EndpointNotices::OnNotice(const EndpointNotice& aNotice, TimePoint aNow)
+NoticeChange EndpointNotices::OnNotice(const EndpointNotice& aNotice, TimePoint aNow)
+{
+  NoticeChange change;
+  change.mBeganToLeave = aNotice.mIsLeaving && !mIsLeaving;
+  mIsLeaving = mIsLeaving || aNotice.mIsLeaving;
+  change.mLimit = OnLimit(aNotice, aNow);
+  return change;
+}
+
+/** @returns whether the endpoint began to name a limit, or names none any more */
+bool EndpointNotices::OnLimit(const EndpointNotice& aNotice, TimePoint aNow)
 {
   const auto& limit = aNotice.mLimit;
-  if (aNotice.mHasInvalidLimit || (limit && (*limit < 0 || *limit > kMaxLimit))) {
+  if (aNotice.mKeepsLimit || (limit && (*limit < 0 || *limit > kMaxLimit))) {
     return false;
   }
   const bool hadLimit = mLimit.has_value();
--- a/modules/skylarkchute_routing/fleet/EndpointNotices.h
+++ b/modules/skylarkchute_routing/fleet/EndpointNotices.h
@@ -9,9 +9,18 @@
 /** What an endpoint says of itself in the head of an answer. */
 struct EndpointNotice
 {
+  bool mIsLeaving = false;
   /** Requests per second that it takes from all instances together; nothing for no limit. */
-  std::optional<double> mLimit;
-  bool mHasInvalidLimit = false; /**< A limit is named that cannot be read. */
+  std::optional<double> mLimit = std::nullopt;
+  /** The former limit stays in force: the answer names one that cannot be read, or is not valid. */
+  bool mKeepsLimit = false;
+};
+
+/** What has changed with a notice. */
+struct NoticeChange
+{
+  bool mBeganToLeave = false;
+  bool mLimit = false; /**< The endpoint began to name a limit, or names none any more. */
 };
 
 /** The part of an endpoint's limit that one instance may use. @see EndpointLimitShares */
@@ -32,9 +41,8 @@
   /** Higher limits are taken for errors and ignored, requests per second. */
   static constexpr double kMaxLimit = 1e6;
 
-  /** Records what an answer says.
-      @returns whether the endpoint began to name a limit, or names none any more */
-  bool OnNotice(const EndpointNotice& aNotice, TimePoint aNow);
+  /** Records what an answer says. An endpoint that leaves does so for good. */
+  NoticeChange OnNotice(const EndpointNotice& aNotice, TimePoint aNow);
 
   /** Sets the part of the limit that this instance may use. Has no effect without a limit. */
   void SetShare(const EndpointLimitShare& aShare, TimePoint aNow);
@@ -48,10 +56,16 @@
   /** Returns the time until a request may be sent; zero if one may be sent now. */
   std::chrono::milliseconds WaitTime(TimePoint aNow);
 
+  /** Returns whether the endpoint has said that it leaves. */
+  bool IsLeaving() const { return mIsLeaving; }
+
   /** Returns the limit that the endpoint names, in requests per second, or nothing. */
   std::optional<double> Limit() const { return mLimit; }
 
 private:
+  bool OnLimit(const EndpointNotice& aNotice, TimePoint aNow);
+
+  bool mIsLeaving = false;
   std::optional<double> mLimit;
   std::optional<EndpointLimitShare> mShare;
   TokenBucket mBucket;
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -280,17 +280,19 @@
   }
 }
 
-bool FleetRouter::OnNotice(const AttemptPlan& aAttempt,
-                           const EndpointNotice& aNotice,
-                           TimePoint aNow)
+NoticeChange FleetRouter::OnNotice(const AttemptPlan& aAttempt,
+                                   const EndpointNotice& aNotice,
+                                   TimePoint aNow)
 {
   auto* row = mEndpoints.Find(aAttempt.mEndpoint);
-  if (row == nullptr || row->mEntry.mIncarnationStart != aAttempt.mIncarnationStart ||
-      !row->mNotices.OnNotice(aNotice, aNow)) {
-    return false;
+  if (row == nullptr || row->mEntry.mIncarnationStart != aAttempt.mIncarnationStart) {
+    return {};
   }
-  mEndpoints.UpdateLimitShares(mLimitShares, aNow);
-  return true;
+  const auto change = row->mNotices.OnNotice(aNotice, aNow);
+  if (change.mLimit) {
+    mEndpoints.UpdateLimitShares(mLimitShares, aNow);
+  }
+  return change;
 }
 
 /** Returns the mean failure rate of the other endpoints of a service. */
--- a/modules/skylarkchute_routing/fleet/FleetRouter.h
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.h
@@ -64,8 +64,8 @@
   void OnLoad(const EndpointId& aEndpoint, const ReportedLoad& aLoad, TimePoint aNow);
 
   /** Records what the endpoint of an attempt says of itself.
-      @returns whether it began to name a limit, or names none any more */
-  bool OnNotice(const AttemptPlan& aAttempt, const EndpointNotice& aNotice, TimePoint aNow);
+      @returns what has changed; nothing when the endpoint is gone or has started again since */
+  NoticeChange OnNotice(const AttemptPlan& aAttempt, const EndpointNotice& aNotice, TimePoint aNow);
 
   /** Records the end of an attempt. Must be called exactly once for each planned attempt. */
   void OnEnded(RequestPlan& aPlan,
--- a/modules/skylarkchute_routing/fleet/FleetTable.h
+++ b/modules/skylarkchute_routing/fleet/FleetTable.h
@@ -40,7 +40,7 @@
   bool HasFreshReport(TimePoint aNow) const;
 
   /** Returns whether new requests may be sent. */
-  bool IsOpen() const { return !mEntry.mDraining; }
+  bool IsOpen() const { return !mEntry.mDraining && !mNotices.IsLeaving(); }
 };
 
 /** All endpoints of the platform's endpoint list.
--- /dev/null
+++ b/tests/skylarkchute_relay/EndpointNoticeTests.cpp
@@ -0,0 +1,65 @@
+#include "RelayFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace skylarkchute;
+
+namespace {
+
+/** A relay before an endpoint that puts a header into its answers, and another one. */
+struct NoticeFixture
+{
+  NoticeFixture() { mRelay.AddEndpoint("first", mFirst.Address()); }
+
+  void AddOther() { mRelay.AddEndpoint("other", mOther.Address()); }
+
+  /** Sends requests one after the other, each after the answer to the one before.
+      @returns the answers */
+  std::string Send(int aCount)
+  {
+    const auto caller = mRelay.Connect();
+    const auto answers = mRelay.ReceiveAsync(caller);
+    for (int n = 1; n <= aCount; ++n) {
+      mRelay.Send(caller, CallerRequest("GET", "/check/1", "r" + std::to_string(++mSent)));
+      std::size_t seen = 0;
+      REQUIRE(mRelay.RunUntil([&] {
+        seen = 0;
+        for (auto at = answers->find("HTTP/1.1"); at != std::string::npos;
+             at = answers->find("HTTP/1.1", at + 1)) {
+          ++seen;
+        }
+        return seen == static_cast<std::size_t>(n);
+      }));
+    }
+    return *answers;
+  }
+
+  RelayFixture mRelay;
+  unsigned mStatus = 200;
+  std::string mHeader; /**< Header line of the first endpoint's answers, with its end. */
+  int mSent = 0;
+  FakeEndpoint mFirst{ mRelay.mLoop, [this](const std::string& aRequest, const auto& aSocket) {
+                        auto answer = SealedResponse(aRequest, mStatus, "x");
+                        answer.insert(answer.find("\r\n") + 2, mHeader);
+                        WriteAll(aSocket, answer);
+                      } };
+  FakeEndpoint mOther{ mRelay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+                        WriteAll(aSocket, SealedResponse(aRequest, 200, "x"));
+                      } };
+};
+
+} // namespace
+
+TEST_CASE("an endpoint that says that it leaves gets nothing more, not even as the last one")
+{
+  NoticeFixture fixture;
+  fixture.mHeader = "Server-Leaving: 1\r\n";
+  fixture.Send(1);
+  CHECK(fixture.mFirst.mRequests.size() == 1);
+  CHECK(fixture.Send(3).find("503") != std::string::npos);
+  CHECK(fixture.mFirst.mRequests.size() == 1);
+  fixture.AddOther();
+  fixture.Send(5);
+  CHECK(fixture.mFirst.mRequests.size() == 1);
+  CHECK(fixture.mOther.mRequests.size() == 5);
+}
--- a/tests/skylarkchute_routing/EndpointLimitFleetTests.cpp
+++ b/tests/skylarkchute_routing/EndpointLimitFleetTests.cpp
@@ -194,7 +194,7 @@
       }
       auto& router = answer.mFleet->mRouter;
       const auto& limit = mLimits[answer.mEndpoint];
-      router.OnNotice(answer.mAttempt, { limit }, mNow);
+      router.OnNotice(answer.mAttempt, { false, limit }, mNow);
       if (limit) {
         answer.mNode->mToldAt.try_emplace(answer.mEndpoint, mNow);
       }
@@ -297,14 +297,14 @@
 {
   EndpointNotices notices;
   const auto now = TimePoint{} + std::chrono::hours(1);
-  CHECK(notices.OnNotice({ 2.0 }, now));
+  CHECK(notices.OnNotice({ false, 2.0 }, now).mLimit);
   notices.SetShare({ 1, seconds(10), seconds(10) }, now);
-  CHECK_FALSE(notices.OnNotice({ std::nullopt, true }, now));
-  CHECK_FALSE(notices.OnNotice({ -1.0 }, now));
-  CHECK_FALSE(notices.OnNotice({ 1e9 }, now));
+  CHECK_FALSE(notices.OnNotice({ false, std::nullopt, true }, now).mLimit);
+  CHECK_FALSE(notices.OnNotice({ false, -1.0 }, now).mLimit);
+  CHECK_FALSE(notices.OnNotice({ false, 1e9 }, now).mLimit);
   CHECK(notices.Limit() == 2.0);
   CHECK_FALSE(notices.Allows(now));
   CHECK(notices.Allows(now + milliseconds(510)));
-  CHECK(notices.OnNotice({}, now));
+  CHECK(notices.OnNotice({}, now).mLimit);
   CHECK(notices.Allows(now));
 }
--- a/tests/skylarkchute_routing/FleetRouterTests.cpp
+++ b/tests/skylarkchute_routing/FleetRouterTests.cpp
@@ -304,3 +304,24 @@
   CHECK(index.FindRoute("site.example", "/a") == nullptr);
   CHECK(index.FindRoute("other", "/a/b/c") == nullptr);
 }
+
+TEST_CASE("fleet: an endpoint that leaves gets nothing until it starts again")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 1);
+  auto plan = fleet.Admit("/check/1");
+  const auto attempt = fleet.Run(plan);
+  CHECK(fleet.mRouter.OnNotice(attempt, { true }, fleet.mNow).mBeganToLeave);
+  CHECK_FALSE(fleet.mRouter.OnNotice(attempt, {}, fleet.mNow).mBeganToLeave);
+  auto refused = fleet.Admit("/check/1");
+  CHECK(
+    std::holds_alternative<RelayRefusal>(fleet.mRouter.NextAttempt(refused, false, fleet.mNow)));
+  auto entry = fleet.mRouter.Endpoints().All().begin()->second.mEntry;
+  entry.mIncarnationStart = 7;
+  fleet.mRouter.Endpoints().Upsert(entry);
+  auto again = fleet.Admit("/check/1");
+  const auto later = fleet.Run(again);
+  CHECK(later.mIncarnationStart == 7);
+  // An answer to a request that the former process got says nothing of the new one.
+  CHECK_FALSE(fleet.mRouter.OnNotice(attempt, { true }, fleet.mNow).mBeganToLeave);
+}
