Endpoints that ask for a pause get nothing until its end

Cause: Retry-After of an endpoint's 503 was not read; the attempt counted as not run and the next request went there again. Change: EndpointNotices keeps the pause; the endpoint is left out until its end, then gets one request each 250 ms until one is answered without a pause. Refusals name the time until an endpoint takes requests. Ruled out: telling other instances (the endpoint tells each itself), holding requests.

--- a/modules/skylarkchute_relay/events/RelayEvents.cpp
+++ b/modules/skylarkchute_relay/events/RelayEvents.cpp
@@ -10,7 +10,7 @@
            &kStoreLost,           &kStoreRegained,   &kStoreWrite,     &kStoreFollowed,
            &kStoreNotFollowed,    &kPeerLost,        &kPeerRegained,   &kRelayAttemptFailed,
            &kRelayRequestRefused, &kAnswerBegun,     &kEndpointDown,   &kEndpointLimited,
-           &kEndpointLeaving };
+           &kEndpointLeaving,     &kEndpointPaused };
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -154,6 +154,13 @@
   "An endpoint said in an answer that it leaves; it gets no new requests."
 };
 
+inline constexpr EventDescription kEndpointPaused{
+  1146,
+  EventLevel::Info,
+  "endpoint-paused",
+  "An endpoint turned a request away and wants nothing from this instance for a while."
+};
+
 /** Returns all events of this module. */
 std::vector<const EventDescription*> RelayEvents();
 
--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -188,6 +188,11 @@
     mContext.mLog.Write({ &kEndpointLeaving, { { "endpoint", mAttempt->mEndpoint.Value() } } });
     mContext.mPool.CloseIdleConnections(mAttempt->mEndpoint);
   }
+  if (change.mPause) {
+    mContext.mLog.Write({ &kEndpointPaused,
+                          { { "endpoint", mAttempt->mEndpoint.Value() },
+                            { "seconds", WriteNumber(notice.mPauseSeconds.value_or(0)) } } });
+  }
   if (change.mLimit) {
     mContext.mLog.Write({ &kEndpointLimited,
                           { { "endpoint", mAttempt->mEndpoint.Value() },
--- a/modules/skylarkchute_routing/fleet/EndpointNotices.cpp
+++ b/modules/skylarkchute_routing/fleet/EndpointNotices.cpp
@@ -9,10 +9,29 @@
   NoticeChange change;
   change.mBeganToLeave = aNotice.mIsLeaving && !mIsLeaving;
   mIsLeaving = mIsLeaving || aNotice.mIsLeaving;
+  change.mPause = OnPause(aNotice, aNow);
   change.mLimit = OnLimit(aNotice, aNow);
   return change;
 }
 
+/** @returns whether the endpoint asks for a pause while none is in force */
+bool EndpointNotices::OnPause(const EndpointNotice& aNotice, TimePoint aNow)
+{
+  const bool isPausing = mPausedUntil && aNow < *mPausedUntil;
+  const auto seconds = aNotice.mPauseSeconds.value_or(0);
+  if (seconds > 0) {
+    const auto pause = std::chrono::ceil<milliseconds>(std::chrono::duration<double>(
+      std::min(seconds, std::chrono::duration<double>(kMaxPause).count())));
+    mPausedUntil = std::max(mPausedUntil.value_or(aNow), aNow + pause);
+    return !isPausing;
+  }
+  // Answers to requests that were under way when the pause began say nothing of its end.
+  if (!isPausing) {
+    mPausedUntil.reset();
+  }
+  return false;
+}
+
 /** @returns whether the endpoint began to name a limit, or names none any more */
 bool EndpointNotices::OnLimit(const EndpointNotice& aNotice, TimePoint aNow)
 {
@@ -52,6 +71,13 @@
 }
 
 milliseconds EndpointNotices::WaitTime(TimePoint aNow)
+{
+  const auto permittedAt = mPausedUntil ? std::max(*mPausedUntil, mResumeAt) : aNow;
+  const auto pause = std::chrono::ceil<milliseconds>(permittedAt - aNow);
+  return std::max(pause, LimitWaitTime(aNow));
+}
+
+milliseconds EndpointNotices::LimitWaitTime(TimePoint aNow)
 {
   if (!mLimit || !mShare) {
     return milliseconds(0);
@@ -64,6 +90,9 @@
 
 void EndpointNotices::OnRequest(TimePoint aNow)
 {
+  if (mPausedUntil) {
+    mResumeAt = aNow + kResumeInterval;
+  }
   if (!mLimit || !mShare) {
     return;
   }
--- a/modules/skylarkchute_routing/fleet/EndpointNotices.h
+++ b/modules/skylarkchute_routing/fleet/EndpointNotices.h
@@ -14,12 +14,15 @@
   std::optional<double> mLimit = std::nullopt;
   /** The former limit stays in force: the answer names one that cannot be read, or is not valid. */
   bool mKeepsLimit = false;
+  /** Time in seconds for which it wants nothing from this instance; nothing if it asks for none. */
+  std::optional<double> mPauseSeconds = std::nullopt;
 };
 
 /** What has changed with a notice. */
 struct NoticeChange
 {
   bool mBeganToLeave = false;
+  bool mPause = false; /**< The endpoint asked for a pause while none was in force. */
   bool mLimit = false; /**< The endpoint began to name a limit, or names none any more. */
 };
 
@@ -38,6 +41,12 @@
 class EndpointNotices
 {
 public:
+  /** Longer pauses are cut to this. */
+  static constexpr std::chrono::milliseconds kMaxPause{ 60000 };
+
+  /** Time between two requests after a pause, until one of them has been answered. */
+  static constexpr std::chrono::milliseconds kResumeInterval{ 250 };
+
   /** Higher limits are taken for errors and ignored, requests per second. */
   static constexpr double kMaxLimit = 1e6;
 
@@ -63,10 +72,14 @@
   std::optional<double> Limit() const { return mLimit; }
 
 private:
+  bool OnPause(const EndpointNotice& aNotice, TimePoint aNow);
+  std::chrono::milliseconds LimitWaitTime(TimePoint aNow);
   bool OnLimit(const EndpointNotice& aNotice, TimePoint aNow);
 
   bool mIsLeaving = false;
   std::optional<double> mLimit;
+  std::optional<TimePoint> mPausedUntil; /**< Set until a request was answered after the pause. */
+  TimePoint mResumeAt{};                 /**< When the next request after the pause may be sent. */
   std::optional<EndpointLimitShare> mShare;
   TokenBucket mBucket;
   TimePoint mTrialAt{}; /**< When an instance without a part may send a request. */
--- a/tests/skylarkchute_relay/EndpointNoticeTests.cpp
+++ b/tests/skylarkchute_relay/EndpointNoticeTests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace skylarkchute;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -48,6 +49,8 @@
                       } };
 };
 
+constexpr const char* kPause = "Retry-After: 0.6\r\nSkylarkchute-Not-Executed: 1\r\n";
+
 } // namespace
 
 TEST_CASE("an endpoint that says that it leaves gets nothing more, not even as the last one")
@@ -63,3 +66,31 @@
   CHECK(fixture.mFirst.mRequests.size() == 1);
   CHECK(fixture.mOther.mRequests.size() == 5);
 }
+
+TEST_CASE("an endpoint that asks for a pause gets nothing until its end")
+{
+  NoticeFixture fixture;
+  fixture.mStatus = 503;
+  fixture.mHeader = kPause;
+  const auto start = std::chrono::steady_clock::now();
+  const auto isOver = [&] { return std::chrono::steady_clock::now() - start > milliseconds(700); };
+  CHECK(fixture.Send(1).find("503") != std::string::npos);
+  CHECK(fixture.Send(10).find("Retry-After: 0.") != std::string::npos);
+  CHECK(fixture.mFirst.mRequests.size() == 1);
+  fixture.mStatus = 200;
+  fixture.mHeader.clear();
+  REQUIRE(fixture.mRelay.RunUntil(isOver));
+  CHECK(fixture.Send(10).find("503") == std::string::npos);
+  CHECK(fixture.mFirst.mRequests.size() == 11);
+}
+
+TEST_CASE("while one endpoint pauses, the others get its requests")
+{
+  NoticeFixture fixture;
+  fixture.mStatus = 503;
+  fixture.mHeader = kPause;
+  fixture.Send(1);
+  fixture.AddOther();
+  CHECK(fixture.Send(10).find("503") == std::string::npos);
+  CHECK(fixture.mFirst.mRequests.size() == 1);
+}
--- a/tests/skylarkchute_routing/EndpointLimitFleetTests.cpp
+++ b/tests/skylarkchute_routing/EndpointLimitFleetTests.cpp
@@ -308,3 +308,40 @@
   CHECK(notices.OnNotice({}, now).mLimit);
   CHECK(notices.Allows(now));
 }
+
+TEST_CASE("a pause that an endpoint asks for ends with single requests until one is answered")
+{
+  EndpointNotices notices;
+  auto now = TimePoint{} + std::chrono::hours(1);
+  EndpointNotice pause;
+  pause.mPauseSeconds = 1.5;
+  CHECK(notices.OnNotice(pause, now).mPause);
+  // Another request that was under way is turned away for a shorter time, a third one is answered.
+  now += milliseconds(100);
+  pause.mPauseSeconds = 0.2;
+  CHECK_FALSE(notices.OnNotice(pause, now).mPause);
+  notices.OnNotice({}, now);
+  CHECK(notices.WaitTime(now) == milliseconds(1400));
+  now += milliseconds(1400);
+  REQUIRE(notices.Allows(now));
+  notices.OnRequest(now);
+  CHECK_FALSE(notices.Allows(now));
+  now += EndpointNotices::kResumeInterval;
+  REQUIRE(notices.Allows(now));
+  notices.OnNotice({}, now);
+  notices.OnRequest(now);
+  CHECK(notices.Allows(now));
+}
+
+TEST_CASE("a pause that is negative has no effect, and one that is absurd is bounded")
+{
+  EndpointNotices notices;
+  const auto now = TimePoint{} + std::chrono::hours(1);
+  EndpointNotice pause;
+  pause.mPauseSeconds = -3;
+  CHECK_FALSE(notices.OnNotice(pause, now).mPause);
+  CHECK(notices.Allows(now));
+  pause.mPauseSeconds = 1e12;
+  CHECK(notices.OnNotice(pause, now).mPause);
+  CHECK(notices.WaitTime(now) == EndpointNotices::kMaxPause);
+}
