--- a/modules/skylarkchute_routing/fleet/EndpointLimitShares.h
+++ b/modules/skylarkchute_routing/fleet/EndpointLimitShares.h
@@ -11,7 +11,7 @@
 
     No messages are exchanged: each instance determines from the live instances which of them use
     the limit of an endpoint, and with which part. Only as many do as the limit has requests in a
-    second, plus one, so that their first requests after a pause stay within it. The endpoints of a
+    second, plus one, so that what they have saved up while idle stays within it. The endpoints of a
     service take their turn in the order of the instances, so that its limits are spread over all of
     them. While views of the live instances differ, too many may use a limit; each of them starts
     without an allowance. */
