Eras of the store: a state is named by era and revision

Cause: states of the store were compared by revision alone. After a restore, revisions go back and are given out again, so lists, events and objects were dropped until the revisions had caught up, and instances confirmed each other in it. Change: StoreVersion holds era and revision in one number that orders by both, in the mirror, the watchers, the digests and what instances exchange; Store-Era is read from every answer of the store. A list of a new era replaces a kind whole, what it lacks counts as lapsed; answers of an earlier era are not used; probes show an era that a waiting watch doesn't. A newer configuration stays in force, a draining endpoint stays so until it starts again. Event 1125, store_era in status. Ruled out: comparing objects by content (removals and digests need an order).

--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -102,6 +102,13 @@
   "store-not-followed",
   "Enough other instances watch the platform's store; this one gets changes from them."
 };
+inline constexpr EventDescription kStoreRestored{
+  1125,
+  EventLevel::Warning,
+  "store-restored",
+  "The platform's store was restored from a copy and began a new era; a newer configuration stays "
+  "in force, entries that the copy lacks count as lapsed."
+};
 inline constexpr EventDescription kPeerLost{ 1130,
                                              EventLevel::Warning,
                                              "peer-lost",
--- a/modules/skylarkchute_relay/net/HttpCall.cpp
+++ b/modules/skylarkchute_relay/net/HttpCall.cpp
@@ -2,6 +2,8 @@
 
 #include "SocketOptions.h"
 
+#include <platform/StoreCodec.h>
+
 namespace skylarkchute {
 
 namespace {
@@ -76,6 +78,7 @@
 HeadChoice HttpCall::OnHead(const ResponseReader& aReader)
 {
   mResult.mStatus = aReader.Status();
+  mResult.mStoreEra = DecodeStoreEra(aReader.Fields());
   return HeadChoice::Accept;
 }
 
--- a/modules/skylarkchute_relay/net/HttpCall.h
+++ b/modules/skylarkchute_relay/net/HttpCall.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace skylarkchute {
@@ -17,6 +18,7 @@
   bool mHasResponse = false;
   unsigned mStatus = 0;
   std::string mBody;
+  std::optional<std::uint64_t> mStoreEra; /**< Named by an answer of the store. */
 };
 
 /** Makes HTTP calls to the store or to another instance, one at a time over a keep-alive
--- a/modules/skylarkchute_relay/peers/PackedChanges.cpp
+++ b/modules/skylarkchute_relay/peers/PackedChanges.cpp
@@ -108,6 +108,7 @@
     if (it.isArray() && it.size() == 3 && it[0].isString() && it[1].isUInt64() && it[2].isBool()) {
       objects.push_back({ it[0].asString(), it[1].asUInt64(), true, {}, it[2].asBool() });
     } else if (auto object = it.isString() ? DecodeObject(it.asString()) : std::nullopt) {
+      object->mRevision = MakeStoreVersion(EraOf(aPacked.mAsOf), RevisionOf(object->mRevision));
       objects.push_back(std::move(*object));
     }
   }
--- a/modules/skylarkchute_relay/peers/PackedChanges.h
+++ b/modules/skylarkchute_relay/peers/PackedChanges.h
@@ -9,8 +9,8 @@
 /** Changes or a snapshot of a kind in the form in which they travel between instances. */
 struct PackedChanges
 {
-  std::uint64_t mSince = 0; /**< As in KindChanges. */
-  std::uint64_t mAsOf = 0;  /**< Store revision. */
+  StoreVersion mSince = 0;  /**< As in KindChanges. */
+  StoreVersion mAsOf = 0;   /**< State of the store; all objects are of its era. */
   bool mIsSnapshot = false; /**< All objects of the kind; mSince has no meaning. */
   bool mIsDeflated = false; /**< mText is compressed (RFC 1950) and encoded in base 64. */
   std::string mText;        /**< JSON array of objects; large ones are compressed. */
--- a/modules/skylarkchute_relay/peers/PeerExchange.h
+++ b/modules/skylarkchute_relay/peers/PeerExchange.h
@@ -16,7 +16,7 @@
 /** Identifies the state of an instance's copy of the objects of a kind. */
 struct KindState
 {
-  std::uint64_t mAsOf = 0;   /**< Store revision up to which the kind is known. */
+  StoreVersion mAsOf = 0;    /**< State of the store up to which the kind is known. */
   std::uint64_t mDigest = 0; /**< Hash of names and revisions. @see StoreMirror::Digest */
 };
 
--- a/modules/skylarkchute_relay/runtime/FleetSync.cpp
+++ b/modules/skylarkchute_relay/runtime/FleetSync.cpp
@@ -59,7 +59,7 @@
   mLog.Write({ &kObjectIgnored,
                { { "kind", std::string(KindName(aKind)) },
                  { "name", aObject.mName },
-                 { "revision", std::to_string(aObject.mRevision) } } });
+                 { "revision", std::to_string(RevisionOf(aObject.mRevision)) } } });
 }
 
 void FleetSync::OnConfig(const StoreObject& aObject)
@@ -78,7 +78,7 @@
   }
   mLog.Write({ &kConfigInForce,
                { { "version", std::to_string(config->mVersion) },
-                 { "revision", std::to_string(aObject.mRevision) },
+                 { "revision", std::to_string(RevisionOf(aObject.mRevision)) },
                  { "routes", std::to_string(config->mRoutes.size()) } } });
   mRouter.SetConfig(std::make_shared<const ConfigIndex>(std::move(*config)));
 }
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -316,6 +316,36 @@
   }
 }
 
+/** Makes the watchers catch up that know an earlier era than the store's: a waiting watch may not
+    have been cut off when the store was restored. */
+void RelayRuntime::CatchUpWithEra()
+{
+  const auto era = mStoreProbe.Era();
+  if (era <= mCatchUpEra) {
+    return;
+  }
+  mCatchUpEra = era;
+  for (const auto& it : mWatchers) {
+    if (EraOf(mMirror.AsOf(it->Kind())) < era) {
+      it->Refresh();
+    }
+  }
+}
+
+/** Logs that the store was restored once a kind is known in the new era. */
+void RelayRuntime::LogNewEra()
+{
+  if (!mMirror.IsKnown(ObjectKind::Config)) {
+    return;
+  }
+  const auto era = mMirror.Era();
+  const auto known = std::exchange(mLoggedEra, era);
+  if (known && *known != era) {
+    mLog.Write(
+      { &kStoreRestored, { { "from", std::to_string(*known) }, { "to", std::to_string(era) } } });
+  }
+}
+
 /** Starts or stops watching the store as mFollowing decides. */
 void RelayRuntime::UpdateStoreRole(TimePoint aNow)
 {
@@ -327,6 +357,7 @@
   }
   if (wasFollowing && isListed) {
     UpdateStoreSilence(aNow);
+    CatchUpWithEra();
   }
   const auto role = mFollowing.Decide(mMesh.Members().LiveMembers(), aNow);
   mMesh.Members().SetRole(role);
@@ -338,6 +369,7 @@
   mFailedKinds.clear();
   mServedKinds.clear();
   mIsStoreSilent = false;
+  mCatchUpEra = mMirror.Era();
   mStoreProbe.Stop();
   for (const auto& it : mWatchers) {
     if (isFollowing) {
@@ -396,6 +428,7 @@
 /** Tells other instances of the objects if they have changed since the last time. */
 void RelayRuntime::SpreadChanges(ChangeSpread::Source aSource)
 {
+  LogNewEra();
   if (mMirrorExchange.TakeChanged()) {
     mMesh.SpreadChange(aSource);
   }
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -69,6 +69,8 @@
   void StopHoldingIfStateKnown();
   void UpdateStoreRole(TimePoint aNow);
   void UpdateStoreSilence(TimePoint aNow);
+  void CatchUpWithEra();
+  void LogNewEra();
   void SpreadChanges(ChangeSpread::Source aSource);
 
   RelaySettings mSettings;
@@ -90,7 +92,9 @@
   StoreProbe mStoreProbe;
   StoreRecorder mRecorder;
   std::vector<std::shared_ptr<StoreWatcher>> mWatchers;
-  bool mIsStoreSilent = false; /**< The watches were started again because of it. */
+  bool mIsStoreSilent = false;             /**< The watches were started again because of it. */
+  std::uint64_t mCatchUpEra = 0;           /**< Era of the store that the watchers were told of. */
+  std::optional<std::uint64_t> mLoggedEra; /**< Era of the store's objects, once any are known. */
   bool mIsLeaving = false;
   bool mRefusesNew = false;
   RelayContext mContext;
--- a/modules/skylarkchute_relay/runtime/RelayStatus.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayStatus.cpp
@@ -123,6 +123,7 @@
   for (const auto it : aSource.mFailedKinds) {
     document["store_unserved"].append(std::string(KindName(it)));
   }
+  document["store_era"] = Json::UInt64(aSource.mMirror.Era());
   document["store_role"] = std::string(RoleName(aSource.mStoreRole));
   if (aSource.mConfirmationAge) {
     document["store_confirmed_ms"] = Json::Int64(aSource.mConfirmationAge->count());
--- a/modules/skylarkchute_relay/runtime/StoreRecorder.cpp
+++ b/modules/skylarkchute_relay/runtime/StoreRecorder.cpp
@@ -115,8 +115,7 @@
       continue;
     }
     mWriter.Write("DELETE",
-                  ObjectTarget(ObjectKind::Instances, name) +
-                    "?Revision=" + std::to_string(it.mRevision),
+                  DeleteTarget(ObjectKind::Instances, name, it.mRevision),
                   {},
                   [this, name](const CallResult& aResult) {
                     mLog.Write({ &kStoreWrite,
--- a/modules/skylarkchute_relay/store/StoreMirror.cpp
+++ b/modules/skylarkchute_relay/store/StoreMirror.cpp
@@ -79,6 +79,8 @@
   if (table.mIsKnown && aSnapshot.mAsOf < table.mAsOf) {
     return;
   }
+  const bool isNewEra = table.mIsKnown && EraOf(aSnapshot.mAsOf) > EraOf(table.mAsOf);
+  const bool mayHaveLapsed = isNewEra || aOrigin == ListOrigin::AfterOutage;
   std::set<std::string> names;
   for (const auto& it : aSnapshot.mObjects) {
     names.insert(it.mName);
@@ -91,10 +93,9 @@
     }
   }
   for (const auto& it : missing) {
-    Erase(
-      aKind, table, { it, aSnapshot.mAsOf, true, {}, aOrigin == ListOrigin::AfterOutage }, aNow);
+    Erase(aKind, table, { it, aSnapshot.mAsOf, true, {}, mayHaveLapsed }, aNow);
   }
-  if (!table.mIsKnown) {
+  if (!table.mIsKnown || isNewEra) {
     table.mChangesFrom = aSnapshot.mAsOf;
   }
   table.mIsKnown = true;
@@ -135,7 +136,7 @@
   return true;
 }
 
-void StoreMirror::Confirm(ObjectKind aKind, std::uint64_t aDigest, std::uint64_t aAsOf)
+void StoreMirror::Confirm(ObjectKind aKind, std::uint64_t aDigest, StoreVersion aAsOf)
 {
   auto& table = mKinds[aKind];
   if (table.mIsKnown && table.mDigest == aDigest) {
@@ -143,8 +144,7 @@
   }
 }
 
-std::optional<KindChanges> StoreMirror::ChangesSince(ObjectKind aKind,
-                                                     std::uint64_t aRevision) const
+std::optional<KindChanges> StoreMirror::ChangesSince(ObjectKind aKind, StoreVersion aRevision) const
 {
   const auto& table = Table(aKind);
   if (!table.mIsKnown || aRevision < table.mChangesFrom) {
@@ -169,11 +169,20 @@
   return Table(aKind).mIsKnown;
 }
 
-std::uint64_t StoreMirror::AsOf(ObjectKind aKind) const
+StoreVersion StoreMirror::AsOf(ObjectKind aKind) const
 {
   return Table(aKind).mAsOf;
 }
 
+std::uint64_t StoreMirror::Era() const
+{
+  std::uint64_t era = 0;
+  for (const auto& [kind, table] : mKinds) {
+    era = std::max(era, EraOf(table.mAsOf));
+  }
+  return era;
+}
+
 std::uint64_t StoreMirror::Digest(ObjectKind aKind) const
 {
   return Table(aKind).mDigest;
--- a/modules/skylarkchute_relay/store/StoreMirror.h
+++ b/modules/skylarkchute_relay/store/StoreMirror.h
@@ -14,15 +14,15 @@
 /** All objects of one kind at one revision of the store. */
 struct KindSnapshot
 {
-  std::uint64_t mAsOf = 0; /**< Store revision. */
+  StoreVersion mAsOf = 0; /**< State of the store. */
   std::vector<StoreObject> mObjects;
 };
 
 /** The changes of the objects of one kind between two revisions of the store. */
 struct KindChanges
 {
-  std::uint64_t mSince = 0; /**< The receiver must know the kind up to this revision. */
-  std::uint64_t mAsOf = 0;  /**< Store revision. */
+  StoreVersion mSince = 0; /**< The receiver must know the kind up to this state. */
+  StoreVersion mAsOf = 0;  /**< State of the store. */
   /** Changed objects in their newest state, and removed ones with the revision at which they were
       known to be gone. */
   std::vector<StoreObject> mObjects;
@@ -47,7 +47,7 @@
   explicit StoreMirror(Listener aListener);
 
   /** Replaces all objects of a kind by a full list. A list older than the current state is
-      ignored. */
+      ignored. In a list of a new era, entries may be missing although their writers live. */
   void Replace(ObjectKind aKind,
                const KindSnapshot& aSnapshot,
                TimePoint aNow,
@@ -61,17 +61,20 @@
   bool Apply(ObjectKind aKind, const KindChanges& aChanges, TimePoint aNow);
 
   /** Records that the objects were still the same at a later revision. */
-  void Confirm(ObjectKind aKind, std::uint64_t aDigest, std::uint64_t aAsOf);
+  void Confirm(ObjectKind aKind, std::uint64_t aDigest, StoreVersion aAsOf);
 
   /** Returns the changes since a revision, or nothing when they are no longer known; a snapshot is
       needed then. */
-  std::optional<KindChanges> ChangesSince(ObjectKind aKind, std::uint64_t aRevision) const;
+  std::optional<KindChanges> ChangesSince(ObjectKind aKind, StoreVersion aRevision) const;
 
   /** Returns whether a full list of the kind was ever received. */
   bool IsKnown(ObjectKind aKind) const;
 
-  /** Returns the store revision up to which the kind is known. */
-  std::uint64_t AsOf(ObjectKind aKind) const;
+  /** Returns the state of the store up to which the kind is known. */
+  StoreVersion AsOf(ObjectKind aKind) const;
+
+  /** Returns the latest era of which a kind is known. */
+  std::uint64_t Era() const;
 
   /** Returns a hash of the names and revisions; equal on instances that hold the same objects. */
   std::uint64_t Digest(ObjectKind aKind) const;
@@ -88,8 +91,8 @@
   struct KindTable
   {
     bool mIsKnown = false;
-    std::uint64_t mAsOf = 0;
-    std::uint64_t mChangesFrom = 0;   /**< Removals are recorded after this revision. */
+    StoreVersion mAsOf = 0;
+    StoreVersion mChangesFrom = 0;    /**< Removals are recorded after this revision. */
     std::deque<StoreObject> mRemoved; /**< The newest removals, oldest first. */
     std::uint64_t mDigest = 0;
     TimePoint mChangedAt{};
--- a/modules/skylarkchute_relay/store/StoreProbe.cpp
+++ b/modules/skylarkchute_relay/store/StoreProbe.cpp
@@ -27,6 +27,7 @@
   mCall->Start("GET", mTarget, {}, kCallTimeout, [this](const CallResult& aResult) {
     // The entry may not be written yet.
     if (aResult.mHasResponse && (aResult.mStatus == kOk || aResult.mStatus == kNotFound)) {
+      mEra = aResult.mStoreEra.value_or(mEra);
       OnAnswer(std::chrono::steady_clock::now());
     }
   });
--- a/modules/skylarkchute_relay/store/StoreProbe.h
+++ b/modules/skylarkchute_relay/store/StoreProbe.h
@@ -26,6 +26,9 @@
   /** Cancels the read in progress. */
   void Stop();
 
+  /** Returns the era that the store named last; zero if none. */
+  std::uint64_t Era() const { return mEra; }
+
   /** Returns when the store answered last. */
   TimePoint AnsweredAt() const { return mAnsweredAt; }
 
@@ -41,6 +44,7 @@
   std::string mTarget;
   std::shared_ptr<HttpCall> mCall;
   TimePoint mAnsweredAt{};
+  std::uint64_t mEra = 0;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/store/StoreWatcher.cpp
+++ b/modules/skylarkchute_relay/store/StoreWatcher.cpp
@@ -107,14 +107,27 @@
                [self = shared_from_this()](const CallResult& aResult) { self->OnListed(aResult); });
 }
 
+/** Returns the era of an answer; one that names none belongs to the era that is known. */
+std::uint64_t StoreWatcher::EraOfAnswer(const CallResult& aResult) const
+{
+  return aResult.mStoreEra.value_or(mMirror.Era());
+}
+
 void StoreWatcher::OnListed(const CallResult& aResult)
 {
-  const auto page =
+  auto page =
     aResult.mHasResponse && aResult.mStatus == kOk ? DecodeList(aResult.mBody) : std::nullopt;
-  if (!page) {
+  const auto era = EraOfAnswer(aResult);
+  if (!page || era < mMirror.Era()) {
     RetryAfterFailure(aResult);
     return;
   }
+  SetEra(*page, era);
+  if (mListing.mAsOf != 0 && EraOf(mListing.mAsOf) != era) {
+    // The pages so far are of another era.
+    List({});
+    return;
+  }
   if (mListing.mAsOf == 0) {
     mListing.mAsOf = page->mAsOf;
   }
@@ -148,16 +161,19 @@
 
 void StoreWatcher::OnWatched(const CallResult& aResult)
 {
-  if (aResult.mHasResponse && aResult.mStatus == kHistoryGone) {
+  const auto era = EraOfAnswer(aResult);
+  const bool isAnswered = aResult.mHasResponse && aResult.mStatus == kOk;
+  if ((aResult.mHasResponse && aResult.mStatus == kHistoryGone) ||
+      (isAnswered && era > EraOf(mWatchRevision))) {
     List({});
     return;
   }
-  const auto page =
-    aResult.mHasResponse && aResult.mStatus == kOk ? DecodeEvents(aResult.mBody) : std::nullopt;
-  if (!page) {
+  auto page = isAnswered ? DecodeEvents(aResult.mBody) : std::nullopt;
+  if (!page || era < mMirror.Era()) {
     RetryAfterFailure(aResult);
     return;
   }
+  SetEra(*page, era);
   mFailures = 0;
   mWatchRevision = std::max(mWatchRevision, page->mAsOf);
   mMirror.Apply(mKind, *page, std::chrono::steady_clock::now());
--- a/modules/skylarkchute_relay/store/StoreWatcher.h
+++ b/modules/skylarkchute_relay/store/StoreWatcher.h
@@ -56,6 +56,7 @@
   void Watch(std::chrono::milliseconds aWait, std::chrono::milliseconds aTimeout);
   void OnListed(const CallResult& aResult);
   void OnWatched(const CallResult& aResult);
+  std::uint64_t EraOfAnswer(const CallResult& aResult) const;
   void RetryAfterFailure(const CallResult& aResult);
   void ScheduleRetry();
   void Retry();
@@ -67,8 +68,8 @@
   std::shared_ptr<HttpCall> mCall;
   boost::asio::steady_timer mPauseTimer;
   KindSnapshot mListing;
-  std::uint64_t mWatchRevision = 0; /**< Last revision received from the store itself. */
-  std::uint32_t mFailures = 0;      /**< Consecutive failed calls. */
+  StoreVersion mWatchRevision = 0; /**< Last state received from the store itself. */
+  std::uint32_t mFailures = 0;     /**< Consecutive failed calls. */
   bool mIsStopped = true;
 };
 
--- a/modules/skylarkchute_routing/fleet/FleetTable.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetTable.cpp
@@ -41,7 +41,10 @@
     row = FleetRow{};
     row.mOutstanding = outstanding;
   }
+  const bool wasDraining = row.mEntry.mDraining;
   row.mEntry = aEntry;
+  // A store that was restored from a copy shows entries from before they were draining.
+  row.mEntry.mDraining = wasDraining || aEntry.mDraining;
   row.mMissingSince.reset();
 }
 
--- a/modules/skylarkchute_routing/fleet/FleetTable.h
+++ b/modules/skylarkchute_routing/fleet/FleetTable.h
@@ -55,7 +55,8 @@
   static constexpr std::chrono::milliseconds kReregistrationPeriod{ 2300 };
 
   /** Adds or replaces an endpoint. A new incarnation or address under a known id starts with fresh
-      health and load data; only the number of attempts in progress is kept. */
+      health and load data; only the number of attempts in progress is kept. A draining endpoint
+      stays so until then. */
   void Upsert(const FleetEndpoint& aEntry);
 
   /** Removes an endpoint.
--- a/standins/users_platform/UsersStore.cpp
+++ b/standins/users_platform/UsersStore.cpp
@@ -76,10 +76,13 @@
 {
   const auto end = std::chrono::steady_clock::now() + aWait;
   std::unique_lock lock(mMutex);
-  mChanged.wait_until(lock, end, [&] {
-    return aRevision < mHistoryStartRevision || !EventsAfter(aKind, aRevision).empty();
-  });
-  if (aRevision < mHistoryStartRevision) {
+  const auto era = mEra;
+  const auto isGone = [&] {
+    return aRevision < mHistoryStartRevision || aRevision > mRevision || era != mEra;
+  };
+  mChanged.wait_until(
+    lock, end, [&] { return isGone() || !EventsAfter(aKind, aRevision).empty(); });
+  if (isGone()) {
     return { kHistoryGone, {} };
   }
   Json::Value page(Json::objectValue);
@@ -169,4 +172,28 @@
   mChanged.notify_all();
 }
 
+void UsersStore::TakeCopy()
+{
+  const std::lock_guard lock(mMutex);
+  mCopiedObjects = mObjects;
+  mCopiedRevision = mRevision;
+}
+
+void UsersStore::RestoreCopy()
+{
+  const std::lock_guard lock(mMutex);
+  mObjects = mCopiedObjects;
+  mRevision = mCopiedRevision;
+  mHistory.clear();
+  mHistoryStartRevision = mRevision;
+  ++mEra;
+  mChanged.notify_all();
+}
+
+std::uint64_t UsersStore::Era() const
+{
+  const std::lock_guard lock(mMutex);
+  return mEra;
+}
+
 } // namespace skylarkchute::standins
--- a/standins/users_platform/UsersStore.h
+++ b/standins/users_platform/UsersStore.h
@@ -54,6 +54,16 @@
   /** Discards the change history. Pending watches end with 410. */
   void DropHistory();
 
+  /** Copies all objects and the revision. */
+  void TakeCopy();
+
+  /** Returns to the last copy, as a store that is restored from it: later changes are gone, their
+      revisions are given out again and a new era begins. Pending watches end with 410. */
+  void RestoreCopy();
+
+  /** Returns the era, which rises by one with each restore. */
+  std::uint64_t Era() const;
+
 private:
   struct Change
   {
@@ -71,6 +81,9 @@
   std::map<Key, Json::Value> mObjects;
   std::deque<Change> mHistory;
   std::uint64_t mRevision = 100;
+  std::uint64_t mEra = 1;
+  std::map<Key, Json::Value> mCopiedObjects;
+  std::uint64_t mCopiedRevision = 100;
   std::uint64_t mHistoryStartRevision = 0; /**< Watches from an older revision are refused. */
 };
 
--- a/standins/users_platform/UsersStoreStandIn.cpp
+++ b/standins/users_platform/UsersStoreStandIn.cpp
@@ -17,6 +17,7 @@
 
 constexpr const char* kObjectsPrefix = "/skylarkchute/objects/";
 constexpr const char* kEndpointKind = "servers";
+constexpr const char* kEraHeader = "Store-Era";
 
 /** An endpoint is removed after it misses three heartbeats, which are sent every 500 ms. */
 constexpr milliseconds kRenewalTimeout{ 1500 };
@@ -79,6 +80,7 @@
   if (WithholdIfSilent(silences)) {
     return;
   }
+  aResponse.set(kEraHeader, std::to_string(mStore.Era()));
   Respond(aResponse, outcome.mStatus, outcome.mBody);
 }
 
@@ -102,6 +104,16 @@
     Respond(aResponse, kOk, Json::Value(Json::objectValue));
     return;
   }
+  if (path == "/standin/copy" && aRequest.getMethod() == "POST") {
+    mStore.TakeCopy();
+    Respond(aResponse, kOk, Json::Value(Json::objectValue));
+    return;
+  }
+  if (path == "/standin/restore" && aRequest.getMethod() == "POST") {
+    mStore.RestoreCopy();
+    Respond(aResponse, kOk, Json::Value(Json::objectValue));
+    return;
+  }
   const auto changes = ReadJson(aRequest);
   const std::lock_guard lock(mMutex);
   if (path == "/standin/switches") {
--- a/tests/skylarkchute_relay/StoreMirrorTests.cpp
+++ b/tests/skylarkchute_relay/StoreMirrorTests.cpp
@@ -1,5 +1,5 @@
 #include <catch2/catch.hpp>
-#include <skylarkchute_relay/peers/PeerExchange.h>
+#include <skylarkchute_relay/peers/MirrorExchange.h>
 
 using namespace skylarkchute;
 
@@ -163,3 +163,92 @@
   CHECK_FALSE(DecodeExchange(R"({"from":["i1","x","10.0.0.1:7","a",1,9,0]})").has_value());
   CHECK_FALSE(DecodeExchange(R"({"from":{"name":"i1"}})").has_value());
 }
+
+namespace {
+
+/** Returns an object of an era, as a watcher passes it on. */
+StoreObject InEra(std::uint64_t aEra, StoreObject aObject)
+{
+  aObject.mRevision = MakeStoreVersion(aEra, aObject.mRevision);
+  return aObject;
+}
+
+} // namespace
+
+TEST_CASE("objects of a store that was restored from a copy replace those with higher revisions")
+{
+  MirrorFixture fixture;
+  auto& mirror = fixture.mMirror;
+  mirror.Replace(
+    kKind,
+    { MakeStoreVersion(1, 30), { InEra(1, MakeObject("a", 20)), InEra(1, MakeObject("b", 30)) } },
+    kNow);
+  mirror.Replace(kKind,
+                 { MakeStoreVersion(2, 25), { InEra(2, MakeObject("a", 20)) } },
+                 kNow,
+                 ListOrigin::Normal);
+  CHECK(mirror.AsOf(kKind) == MakeStoreVersion(2, 25));
+  CHECK(mirror.Find(kKind, "b") == nullptr);
+  // What the copy lacks may be written again by its writer.
+  CHECK(fixture.mReported.back().mName == "b");
+  CHECK(fixture.mReported.back().mMayHaveLapsed);
+  // A revision that was given out again.
+  StorePage page;
+  page.mAsOf = MakeStoreVersion(2, 30);
+  page.mObjects = { InEra(2, MakeObject("a", 30)) };
+  mirror.Apply(kKind, page, kNow);
+  REQUIRE(mirror.Find(kKind, "a") != nullptr);
+  CHECK(mirror.Find(kKind, "a")->mRevision == MakeStoreVersion(2, 30));
+}
+
+TEST_CASE("an answer of an earlier era changes nothing, however high its revisions")
+{
+  MirrorFixture fixture;
+  auto& mirror = fixture.mMirror;
+  mirror.Replace(kKind, { MakeStoreVersion(3, 10), { InEra(3, MakeObject("a", 9)) } }, kNow);
+  mirror.Replace(kKind, { MakeStoreVersion(2, 900), {} }, kNow);
+  StorePage page;
+  page.mAsOf = MakeStoreVersion(2, 900);
+  page.mObjects = { InEra(2, MakeObject("a", 900)) };
+  mirror.Apply(kKind, page, kNow);
+  mirror.Apply(kKind,
+               KindChanges{ MakeStoreVersion(2, 1),
+                            MakeStoreVersion(2, 900),
+                            { { "a", MakeStoreVersion(2, 900), true, "" } } },
+               kNow);
+  REQUIRE(mirror.Find(kKind, "a") != nullptr);
+  CHECK(mirror.Find(kKind, "a")->mRevision == MakeStoreVersion(3, 9));
+  CHECK(mirror.AsOf(kKind) == MakeStoreVersion(3, 10));
+}
+
+TEST_CASE("instances of an earlier era get the new one whole from the others, twice in a row")
+{
+  MirrorFixture from;
+  MirrorFixture to;
+  MirrorExchange sender(from.mMirror);
+  MirrorExchange receiver(to.mMirror);
+  const auto exchange = [&] {
+    PeerExchange told;
+    KnownKinds known;
+    if (to.mMirror.IsKnown(kKind)) {
+      known[kKind] = { to.mMirror.AsOf(kKind), to.mMirror.Digest(kKind) };
+    }
+    sender.Fill(told, &known, 100000);
+    receiver.Apply(*DecodeExchange(EncodeExchange(told)), ListOrigin::Normal, kNow);
+  };
+  for (std::uint64_t era = 1; era <= 3; ++era) {
+    // The same object has the same revision in each era, with other content.
+    from.mMirror.Replace(kKind,
+                         { MakeStoreVersion(era, 40),
+                           { InEra(era, MakeObject("a", 40, era)),
+                             InEra(era, MakeObject("b" + std::to_string(era), 30)) } },
+                         kNow);
+    exchange();
+    REQUIRE(to.mMirror.Find(kKind, "a") != nullptr);
+    CHECK(to.mMirror.Find(kKind, "a")->mText == from.mMirror.Find(kKind, "a")->mText);
+    CHECK(to.mMirror.Find(kKind, "b" + std::to_string(era)) != nullptr);
+    CHECK(to.mMirror.Find(kKind, "b" + std::to_string(era - 1)) == nullptr);
+    CHECK(to.mMirror.Digest(kKind) == from.mMirror.Digest(kKind));
+    CHECK(to.mMirror.Era() == era);
+  }
+}
--- a/tests/skylarkchute_routing/FleetRouterTests.cpp
+++ b/tests/skylarkchute_routing/FleetRouterTests.cpp
@@ -325,3 +325,18 @@
   // An answer to a request that the former process got says nothing of the new one.
   CHECK_FALSE(fleet.mRouter.OnNotice(attempt, { true }, fleet.mNow).mBeganToLeave);
 }
+
+TEST_CASE("fleet: a draining endpoint whose older entry comes back stays draining")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 1);
+  auto entry = fleet.mRouter.Endpoints().All().begin()->second.mEntry;
+  entry.mDraining = true;
+  fleet.mRouter.Endpoints().Upsert(entry);
+  entry.mDraining = false;
+  fleet.mRouter.Endpoints().Upsert(entry);
+  CHECK(fleet.mRouter.Endpoints().OpenRows(ServiceName("svc")).empty());
+  entry.mIncarnationStart = 7;
+  fleet.mRouter.Endpoints().Upsert(entry);
+  CHECK(fleet.mRouter.Endpoints().OpenRows(ServiceName("svc")).size() == 1);
+}
