Rollouts count answers that are overdue before they are given up

Callers got a slow version for as long as its share grew unchecked. Cause: an answer counted when it began or was given up after 1.5 s; meanwhile the share of the version grew. Ruled out: a limit on unanswered requests (it delays good rollouts under load). Measured: the new test fails without the count (never rolled back).

--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -178,12 +178,11 @@
            mEndpoints.Pressure(aPlan.mService, aNow) };
 }
 
-AttemptPlan FleetRouter::PlanFor(const RequestPlan& aPlan,
-                                 const FleetRow& aRow,
-                                 TimePoint aNow) const
+AttemptPlan FleetRouter::PlanFor(const RequestPlan& aPlan, const FleetRow& aRow, TimePoint aNow)
 {
   const auto& route = *aPlan.mRoute;
   AttemptPlan attempt;
+  attempt.mNumber = ++mAttempts;
   attempt.mEndpoint = aRow.mEntry.mId;
   attempt.mIncarnationStart = aRow.mEntry.mIncarnationStart;
   attempt.mAddress = aRow.mEntry.mAddress;
@@ -250,6 +249,33 @@
 {
   ++aPlan.mSends;
   mRollouts.OnSent(aPlan.mService, aAttempt.mVersion, aPlan.mSession, aNow);
+  const auto* order = mRollouts.Order(aPlan.mService);
+  if (order != nullptr && order->mState == RolloutState::Running) {
+    mAwaited[aAttempt.mNumber] = {
+      aPlan.mService, aAttempt.mVersion, aAttempt.mLatencyKind, aNow, false
+    };
+  }
+}
+
+/** Counts the answers that are slow already, without waiting until they begin or are given up. */
+void FleetRouter::CountOverdueAnswers(TimePoint aNow)
+{
+  for (auto& [number, answer] : mAwaited) {
+    const auto age = std::chrono::duration_cast<std::chrono::microseconds>(aNow - answer.mSentAt);
+    if (!answer.mIsCounted &&
+        mLatencies.RelativeLatency(answer.mLatencyKind, age) > kSlowLatencyFactor) {
+      answer.mIsCounted = true;
+      mRollouts.OnAnswer(answer.mService, answer.mVersion, { 1, 0, 1 });
+    }
+  }
+}
+
+/** Ends the wait for an answer.
+    @returns whether it was counted as a slow one */
+bool FleetRouter::EndWait(const AttemptPlan& aAttempt)
+{
+  const auto found = mAwaited.extract(aAttempt.mNumber);
+  return !found.empty() && found.mapped().mIsCounted;
 }
 
 void FleetRouter::OnFirstByte(const RequestPlan& aPlan,
@@ -268,7 +294,9 @@
     mLatencies.Record(aAttempt.mLatencyKind, aLatency);
   }
   const std::uint64_t slow = relative > kSlowLatencyFactor ? 1 : 0;
-  mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 0, slow });
+  if (!EndWait(aAttempt)) {
+    mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 0, slow });
+  }
 }
 
 void FleetRouter::OnLoad(const EndpointId& aEndpoint, const ReportedLoad& aLoad, TimePoint aNow)
@@ -319,6 +347,7 @@
   if (MayHaveRun(aOutcome)) {
     ++aPlan.mRuns;
   }
+  const bool wasCountedSlow = EndWait(aAttempt);
   if (aOutcome != RelayOutcome::Answered && aOutcome != RelayOutcome::Abandoned) {
     aPlan.mTried.push_back(aAttempt.mEndpoint);
   }
@@ -344,7 +373,9 @@
       return;
     case RelayOutcome::TimedOut:
       // Otherwise only the answers that were quick enough would count.
-      mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 0, 1 });
+      if (!wasCountedSlow) {
+        mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 0, 1 });
+      }
       break;
     case RelayOutcome::Lost:
     case RelayOutcome::Damaged:
@@ -419,6 +450,7 @@
 
 std::vector<EndpointId> FleetRouter::Tick(TimePoint aNow)
 {
+  CountOverdueAnswers(aNow);
   mEndpoints.UpdateLimitShares(mLimitShares, aNow);
   mRollouts.Prune(aNow);
   mSuspects.Prune(aNow);
--- a/modules/skylarkchute_routing/fleet/FleetRouter.h
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.h
@@ -102,11 +102,22 @@
   RolloutTracker& Rollouts() { return mRollouts; }
   CrashSuspects& Suspects() { return mSuspects; }
 
-  /** Removes expired state. Call about once a second.
+  /** Removes expired state, and counts answers that are overdue in rollouts. To be called several
+      times a second.
       @returns the ids of the endpoints that were dropped */
   std::vector<EndpointId> Tick(TimePoint aNow);
 
 private:
+  /** An answer that has not begun, of a service that is being rolled out. */
+  struct AwaitedAnswer
+  {
+    ServiceName mService;
+    std::string mVersion;
+    LatencyKind mLatencyKind;
+    TimePoint mSentAt{};
+    bool mIsCounted = false; /**< As a slow answer. */
+  };
+
   ServiceName ChooseService(const RelayRoute& aRoute);
   RelayRefusal RefuseLimited(const RequestPlan& aPlan,
                              const std::vector<FleetRow*>& aRows,
@@ -116,7 +127,9 @@
                            TimePoint aNow) const;
   SizeInputs SizeInputsOf(const RequestPlan& aPlan, std::uint32_t aRuns, TimePoint aNow) const;
   RelayRefusal Refuse(const RequestPlan& aPlan, RefusalReason aReason, TimePoint aNow) const;
-  AttemptPlan PlanFor(const RequestPlan& aPlan, const FleetRow& aRow, TimePoint aNow) const;
+  void CountOverdueAnswers(TimePoint aNow);
+  bool EndWait(const AttemptPlan& aAttempt);
+  AttemptPlan PlanFor(const RequestPlan& aPlan, const FleetRow& aRow, TimePoint aNow);
 
   ZoneName mZone;
   FleetBounds mBounds;
@@ -127,6 +140,8 @@
   LatencyBaseline mLatencies;
   EndpointLimitShares mLimitShares;
   std::map<ServiceName, RetryWindow> mRetryWindows;
+  std::map<std::uint64_t, AwaitedAnswer> mAwaited; /**< By number of the attempt. */
+  std::uint64_t mAttempts = 0;                     /**< Planned so far. */
   std::size_t mInstances = 1;
   std::minstd_rand mRandom;
 };
--- a/modules/skylarkchute_routing/fleet/RelayRequest.h
+++ b/modules/skylarkchute_routing/fleet/RelayRequest.h
@@ -90,6 +90,7 @@
   std::uint32_t mConnectionLimit =
     0; /**< This instance's share of mMaxConnections; zero: unknown. */
   LatencyKind mLatencyKind;
+  std::uint64_t mNumber = 0; /**< Of the attempt at this instance. */
 };
 
 /** How an attempt ended. */
--- a/tests/skylarkchute_routing/RolloutTrackerTests.cpp
+++ b/tests/skylarkchute_routing/RolloutTrackerTests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <vector>
 
 using namespace skylarkchute;
 using std::chrono::milliseconds;
@@ -172,6 +173,35 @@
   CHECK(newer <= 0.15 * sent + 30);
 }
 
+TEST_CASE("rollout: answers that are awaited for too long count before they are given up")
+{
+  // The share of the newer version grew while its slow answers were still waited for.
+  FleetFixture fleet;
+  fleet.AddEndpoints("old", 4);
+  fleet.AddEndpoints("new", 4, "v2");
+  Traffic before;
+  before.Send(fleet, seconds(2), [](int) { return false; });
+  fleet.OrderRollout("v2", kPeriod);
+  constexpr milliseconds kGap{ 25 };
+  std::vector<RequestPlan> plans;
+  TimePoint slowSince{};
+  for (milliseconds at{ 0 }; at < kPeriod && Step(fleet) != RolloutStep::RollBack; at += kGap) {
+    fleet.mNow += kGap;
+    fleet.mRouter.Tick(fleet.mNow);
+    plans.push_back(fleet.Admit("/chat/1", "s" + std::to_string(plans.size() % 400)));
+    const auto attempt = fleet.Attempt(plans.back());
+    fleet.mRouter.OnSent(plans.back(), attempt, fleet.mNow);
+    if (attempt.mVersion == "v2") {
+      slowSince = slowSince == TimePoint{} ? fleet.mNow : slowSince;
+      continue; // Never answered, and not given up either.
+    }
+    fleet.mRouter.OnFirstByte(plans.back(), attempt, milliseconds(50), fleet.mNow);
+    fleet.mRouter.OnEnded(plans.back(), attempt, RelayOutcome::Answered, fleet.mNow);
+  }
+  CHECK(Step(fleet) == RolloutStep::RollBack);
+  CHECK(fleet.mNow - slowSince < seconds(5));
+}
+
 TEST_CASE("rollout: a subject in use stays on the older version through the first half")
 {
   FleetFixture fleet;
