Attempts at silent endpoints are ended only when another one can follow

Callers of streams saw their connection close in the middle of the answer, and callers of idempotent requests a 502, when a sound endpoint was silent for longer than the timeout while the route's attempts or the retry budget were used up or no other endpoint was open.

Cause: the timeout ended the attempt first and asked for the next one afterwards; a refusal of it then ended the request. Ruled out: revoked keys (looked up at admission alone); an endpoint that breaks off is logged as lost, not as timed-out.

Change: the next attempt is planned before the silent one is ended, with the same limits. Without one the attempt is kept and a replacement is looked for every 250 ms. This works because an answer that is under way can only be lost by ending it.

Tests, all failing before: three in AttemptTests (an event that came 2.2 s later was never passed on; a second endpoint that opened at 1.8 s was not used; an answer that took 1.2 s became 502). Relay and routing tests pass (43 and 77 cases).

--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -24,6 +24,9 @@
     before the relay does. */
 constexpr milliseconds kDeadlineMargin{ 5 };
 
+/** Interval at which a replacement is looked for while an endpoint is silent. */
+constexpr milliseconds kReplacementInterval{ 250 };
+
 TimePoint Now()
 {
   return std::chrono::steady_clock::now();
@@ -106,6 +109,7 @@
   mAttempt = std::move(aAttempt);
   mWasSent = false;
   mHasFirstByte = false;
+  mIsSilent = false;
   mIsStream = false;
   mEndpointHead = EndpointHead{};
   mResponse = BufferedResponse{};
@@ -274,6 +278,7 @@
     }
     responder->SendChunk(bytes);
   }
+  mIsSilent = false;
   if (isContiguous && mPlan->mRoute->mResumable) {
     ArmAttemptTimer(mContext.mRouter.StreamPauseTimeout(*mPlan, Now()));
   }
@@ -374,10 +379,30 @@
   if (mIsFinished || !mAttempt) {
     return;
   }
+  if (!mWasSent) {
+    mConnection->Close();
+    EndAttempt(RelayOutcome::Unreachable);
+    TryNextAttempt();
+    return;
+  }
+  auto replacement = mContext.mRouter.ReplaceSilentAttempt(*mPlan, *mAttempt, Now());
+  if (!replacement) {
+    WaitOnSilentEndpoint();
+    return;
+  }
   mConnection->Close();
-  const auto outcome = mWasSent ? RelayOutcome::TimedOut : RelayOutcome::Unreachable;
-  EndAttempt(outcome);
-  TryNextAttempt();
+  EndAttempt(RelayOutcome::TimedOut);
+  SendAttempt(std::move(*replacement));
+}
+
+/** Keeps the attempt, because its endpoint may go on and nothing else can answer the caller. */
+void RelayedRequest::WaitOnSilentEndpoint()
+{
+  if (!std::exchange(mIsSilent, true)) {
+    mContext.mMetrics.Add("skylarkchute_silent_attempts_total", "");
+    mContext.mRouter.OnSilence(*mPlan, *mAttempt, Now());
+  }
+  ArmAttemptTimer(kReplacementInterval);
 }
 
 void RelayedRequest::EndAttempt(RelayOutcome aOutcome)
--- a/modules/skylarkchute_relay/requests/RelayedRequest.h
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.h
@@ -55,6 +55,7 @@
   void TryNextAttempt();
   void FailRequest(const RelayRefusal& aRefusal);
   void OnAttemptTimeout();
+  void WaitOnSilentEndpoint();
   void OnDeadline();
   void ArmAttemptTimer(std::chrono::milliseconds aTime);
   void RecordNotice();
@@ -85,6 +86,7 @@
   TimePoint mSentAt{};
   bool mWasSent = false;
   bool mHasFirstByte = false;
+  bool mIsSilent = false; /**< The endpoint has been silent for longer than its timeout. */
   bool mIsFinished = false;
 
   // Response to the current attempt.
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -245,6 +245,25 @@
   return PlanFor(aPlan, *row, aNow);
 }
 
+std::optional<AttemptPlan> FleetRouter::ReplaceSilentAttempt(const RequestPlan& aPlan,
+                                                             const AttemptPlan& aSilent,
+                                                             TimePoint aNow)
+{
+  auto plan = aPlan;
+  ++plan.mRuns;
+  plan.mTried.push_back(aSilent.mEndpoint);
+  auto decision = NextAttempt(plan, false, aNow);
+  auto* attempt = std::get_if<AttemptPlan>(&decision);
+  return attempt == nullptr ? std::nullopt : std::optional(std::move(*attempt));
+}
+
+void FleetRouter::OnSilence(const RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow)
+{
+  if (auto* row = mEndpoints.Find(aAttempt.mEndpoint)) {
+    row->mHealth.OnFailure(aNow, OthersFailureRate(aPlan.mService, aAttempt.mEndpoint, aNow));
+  }
+}
+
 void FleetRouter::OnSent(RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow)
 {
   ++aPlan.mSends;
--- a/modules/skylarkchute_routing/fleet/FleetRouter.h
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.h
@@ -50,6 +50,17 @@
                             model is to be used */
   Decision NextAttempt(RequestPlan& aPlan, bool aWantsLargest, TimePoint aNow);
 
+  /** Plans the attempt that takes the place of one whose endpoint is silent. The silent attempt is
+      to be ended only if there is one, since its endpoint may go on.
+      @returns nothing when no other attempt is possible now */
+  std::optional<AttemptPlan> ReplaceSilentAttempt(const RequestPlan& aPlan,
+                                                  const AttemptPlan& aSilent,
+                                                  TimePoint aNow);
+
+  /** Records that the endpoint of an attempt in progress has been silent for longer than its
+      timeout. */
+  void OnSilence(const RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow);
+
   /** Records that an attempt was sent. */
   void OnSent(RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow);
 
--- a/tests/skylarkchute_relay/AttemptTests.cpp
+++ b/tests/skylarkchute_relay/AttemptTests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace skylarkchute;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -49,6 +50,78 @@
   CHECK(CountOccurrences(*answer, "HTTP/1.1") == 1);
 }
 
+TEST_CASE("a stream is not given up for its endpoint's silence while no other can go on with it")
+{
+  RelayFixture relay;
+  boost::asio::steady_timer silence(relay.mLoop);
+  const auto handler = [&](const std::string& aRequest, const FakeEndpoint::Socket& aSocket) {
+    WriteAll(aSocket, StreamResponseHead(aRequest) + EventChunk(1));
+    silence.expires_after(milliseconds(2200));
+    silence.async_wait([aSocket](const boost::system::error_code&) {
+      WriteAll(aSocket, EventChunk(2) + "0\r\n\r\n");
+    });
+  };
+  FakeEndpoint first(relay.mLoop, handler);
+  FakeEndpoint second(relay.mLoop, handler);
+  relay.AddEndpoint("e1", first.Address());
+  SECTION("it is the only endpoint") {}
+  SECTION("the retry budget is spent")
+  {
+    relay.AddEndpoint("e2", second.Address());
+    relay.mRouter.SetBounds({ { 0, 0, milliseconds(10000) }, { 0.15, 30 }, milliseconds(5000) });
+  }
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller, CallerRequest("POST", "/chat/1", "r1", "x"));
+  REQUIRE(relay.RunUntil(
+    [&] { return relay.mIsClosed[0] || answer->find("\r\n0\r\n\r\n") != std::string::npos; }));
+  CHECK(CountOccurrences(*answer, "id: 1\n") == 1);
+  CHECK(CountOccurrences(*answer, "id: 2\n") == 1);
+  CHECK(first.mRequests.size() + second.mRequests.size() == 1);
+}
+
+TEST_CASE("a stream at a silent endpoint goes on at another one as soon as there is one")
+{
+  RelayFixture relay;
+  FakeEndpoint silent(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(aSocket, StreamResponseHead(aRequest) + EventChunk(1));
+  });
+  FakeEndpoint other(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(aSocket, StreamResponseHead(aRequest) + EventChunk(2) + "0\r\n\r\n");
+  });
+  relay.AddEndpoint("e1", silent.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller, CallerRequest("POST", "/chat/1", "r1", "x"));
+  relay.RunUntil([end = std::chrono::steady_clock::now() + milliseconds(1800)] {
+    return std::chrono::steady_clock::now() >= end;
+  });
+  relay.AddEndpoint("e2", other.Address());
+  REQUIRE(relay.RunUntil(
+    [&] { return relay.mIsClosed[0] || answer->find("\r\n0\r\n\r\n") != std::string::npos; }));
+  CHECK(CountOccurrences(*answer, "id: 2\n") == 1);
+  CHECK(other.mRequests.size() == 1);
+}
+
+TEST_CASE("a slow answer is waited for while no other endpoint can give it")
+{
+  RelayFixture relay;
+  boost::asio::steady_timer delay(relay.mLoop);
+  FakeEndpoint endpoint(relay.mLoop, [&](const std::string& aRequest, const auto& aSocket) {
+    delay.expires_after(milliseconds(1200));
+    delay.async_wait([aRequest, aSocket](const boost::system::error_code&) {
+      WriteAll(aSocket, SealedResponse(aRequest, 200, "late"));
+    });
+  });
+  relay.AddEndpoint("e1", endpoint.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller, CallerRequest("GET", "/check/1", "r1"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("\r\n\r\n") != std::string::npos; }));
+  CHECK(answer->find("HTTP/1.1 200") == 0);
+  CHECK(endpoint.mRequests.size() == 1);
+}
+
 TEST_CASE("an answer of another request is skipped, not passed on")
 {
   RelayFixture relay;
