A request counts once in the retry budget, however many endpoints are unreachable

Cause: a request counted as a first attempt as long as nothing was sent, so one whose three tries could not connect counted three times and tripled what may be repeated, just while endpoints are down.

Test, failing before: "fleet: a request counts once in the retry budget, however many endpoints are unreachable".

--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -246,9 +246,9 @@
     return Refuse(aPlan, RefusalReason::NoEndpoint, aNow);
   }
   auto& window = mRetryWindows[aPlan.mService];
-  if (aPlan.mSends == 0) {
+  if (!std::exchange(aPlan.mIsCounted, true)) {
     window.OnFirstAttempt(aNow, mBounds.mRetry);
-  } else if (!window.TakeRetry(aNow, mBounds.mRetry, mInstances)) {
+  } else if (aPlan.mSends > 0 && !window.TakeRetry(aNow, mBounds.mRetry, mInstances)) {
     return Refuse(aPlan, RefusalReason::BudgetSpent, aNow);
   }
   mPartSuspects.TakeTrial(aPlan.mSharedParts, aNow);
--- a/modules/skylarkchute_routing/fleet/RelayRequest.h
+++ b/modules/skylarkchute_routing/fleet/RelayRequest.h
@@ -74,6 +74,7 @@
   bool mChoosesSize = false;        /**< This instance chooses the model. */
   std::optional<std::size_t> mSize; /**< Model of a stream that the caller has partly received. */
   bool mWantsLargest = false;       /**< The confidence of a smaller model was too low. */
+  bool mIsCounted = false;          /**< As a request in the retry budget of its service. */
   std::uint32_t mRuns = 0;          /**< Attempts that may have run. */
   std::uint32_t mSends = 0;         /**< Attempts that were sent to an endpoint. */
   std::vector<EndpointId> mTried;   /**< Endpoints where an attempt did not succeed. */
--- a/tests/skylarkchute_routing/FleetRouterTests.cpp
+++ b/tests/skylarkchute_routing/FleetRouterTests.cpp
@@ -130,6 +130,31 @@
   CHECK(repeats > 0.5 * firsts);
 }
 
+TEST_CASE(
+  "fleet: a request counts once in the retry budget, however many endpoints are unreachable")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 4);
+  auto plan = fleet.Admit("/check/1");
+  for (int n = 0; n < 3; ++n) {
+    const auto attempt = fleet.Attempt(plan);
+    fleet.mRouter.OnEnded(plan, attempt, RelayOutcome::Unreachable, fleet.mNow);
+  }
+  const auto limit = [&] {
+    return fleet.mRouter.RetryUsages(fleet.mNow).at(ServiceName("svc")).mRetryLimit;
+  };
+  const auto before = limit();
+  auto other = fleet.Admit("/check/1");
+  fleet.Attempt(other);
+  // The other request raises the limit as much as the first one did.
+  FleetFixture reference;
+  reference.AddEndpoints("e", 4);
+  auto single = reference.Admit("/check/1");
+  reference.Attempt(single);
+  CHECK(before == reference.mRouter.RetryUsages(reference.mNow).at(ServiceName("svc")).mRetryLimit);
+  CHECK(limit() > before);
+}
+
 TEST_CASE("fleet: a request that may not be repeated is planned once after it may have run")
 {
   FleetFixture fleet;
