The silence of an endpoint counts once in its health

Cause: the silence was counted when the timeout passed, and again when the attempt was ended for a replacement or by the deadline; two failures are enough for an endpoint to be avoided.

Test, failing before: "fleet: the silence of an endpoint counts once, also when its attempt is ended later".

--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -270,13 +270,24 @@
   return attempt == nullptr ? std::nullopt : std::optional(std::move(*attempt));
 }
 
-void FleetRouter::OnSilence(const RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow)
+void FleetRouter::OnSilence(const RequestPlan& aPlan, AttemptPlan& aAttempt, TimePoint aNow)
 {
+  aAttempt.mIsSilenceCounted = true;
   if (auto* row = mEndpoints.Find(aAttempt.mEndpoint)) {
     row->mHealth.OnFailure(aNow, OthersFailureRate(aPlan.mService, aAttempt.mEndpoint, aNow));
   }
 }
 
+bool FleetRouter::MayAttemptLater(const RequestPlan& aPlan, RefusalReason aReason) const
+{
+  if (!aPlan.mRoute->IsRetryable() || aPlan.mRuns >= aPlan.mRoute->mMaxAttempts ||
+      aPlan.mSends >= kMaxSends) {
+    return false;
+  }
+  return aReason == RefusalReason::NoEndpoint || aReason == RefusalReason::EndpointsLimited ||
+         aReason == RefusalReason::BudgetSpent;
+}
+
 void FleetRouter::OnSent(RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow)
 {
   ++aPlan.mSends;
@@ -449,7 +460,7 @@
     case RelayOutcome::Damaged:
       break;
   }
-  if (row != nullptr) {
+  if (row != nullptr && !aAttempt.mIsSilenceCounted) {
     row->mHealth.OnFailure(aNow, OthersFailureRate(aPlan.mService, aAttempt.mEndpoint, aNow));
   }
 }
--- a/modules/skylarkchute_routing/fleet/FleetRouter.h
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.h
@@ -59,7 +59,11 @@
 
   /** Records that the endpoint of an attempt in progress has been silent for longer than its
       timeout. */
-  void OnSilence(const RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow);
+  void OnSilence(const RequestPlan& aPlan, AttemptPlan& aAttempt, TimePoint aNow);
+
+  /** Returns whether a request that was refused its next attempt may get one later, within its
+      deadline. */
+  bool MayAttemptLater(const RequestPlan& aPlan, RefusalReason aReason) const;
 
   /** Records that an attempt was sent. */
   void OnSent(RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow);
--- a/modules/skylarkchute_routing/fleet/RelayRequest.h
+++ b/modules/skylarkchute_routing/fleet/RelayRequest.h
@@ -93,7 +93,8 @@
   std::uint32_t mConnectionLimit =
     0; /**< This instance's share of mMaxConnections; zero: unknown. */
   LatencyKind mLatencyKind;
-  std::uint64_t mNumber = 0; /**< Of the attempt at this instance. */
+  std::uint64_t mNumber = 0;      /**< Of the attempt at this instance. */
+  bool mIsSilenceCounted = false; /**< The endpoint's health knows that it was silent. */
 
   /** Returns the id and incarnation of the endpoint. */
   std::string Incarnation() const
--- a/tests/skylarkchute_routing/FleetRouterTests.cpp
+++ b/tests/skylarkchute_routing/FleetRouterTests.cpp
@@ -155,6 +155,23 @@
   CHECK(limit() > before);
 }
 
+TEST_CASE("fleet: the silence of an endpoint counts once, also when its attempt is ended later")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("e", 2);
+  auto plan = fleet.Admit("/check/1");
+  auto attempt = fleet.Attempt(plan);
+  fleet.mRouter.OnSent(plan, attempt, fleet.mNow);
+  fleet.mRouter.OnSilence(plan, attempt, fleet.mNow);
+  const auto rate = [&] {
+    return fleet.mRouter.Endpoints().Find(attempt.mEndpoint)->mHealth.FailureRate(fleet.mNow);
+  };
+  const auto once = rate();
+  CHECK(once > 0);
+  fleet.mRouter.OnEnded(plan, attempt, RelayOutcome::TimedOut, fleet.mNow);
+  CHECK(rate() == once);
+}
+
 TEST_CASE("fleet: a request that may not be repeated is planned once after it may have run")
 {
   FleetFixture fleet;
