Answers with a length that are under way are not asked for again

Callers' idempotent requests ran twice, and ended with 502 where nothing else could answer, although their answer was arriving. Cause: the timeout for the first byte ran until the whole answer was there. It now starts again with each part of the answer, as for streams.

Test, failing before (2 requests at endpoints instead of 1): relay, "an answer with a length that is under way is not asked for again".

--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -166,6 +166,7 @@
   mIsStream =
     mPlan->mRoute->mKind == RequestKind::Stream && isValid && IsSuccess(mEndpointHead.mStatus);
   if (!mIsStream) {
+    AwaitMore();
     return HeadChoice::Accept;
   }
   const bool hasLowConfidence =
@@ -250,9 +251,10 @@
 {
   if (!mIsStream) {
     mResponse.mBody.append(aBytes);
+    AwaitMore();
     return;
   }
-  if (!ForwardEvents(mSplitter.Feed(aBytes))) {
+  if (!ForwardEvents(mSplitter.Feed(aBytes)) && mAttempt) {
     mConnection->Close();
     EndAttempt(RelayOutcome::Damaged);
     TryNextAttempt();
@@ -295,15 +297,23 @@
     responder->SendChunk(bytes);
   }
   mIsSilent = false;
-  if (isContiguous && mPlan->mRoute->mResumable) {
-    ArmAttemptTimer(mContext.mRouter.StreamPauseTimeout(*mPlan, Now()));
+  if (isContiguous) {
+    AwaitMore();
   }
   return isContiguous;
 }
 
+/** Starts the timeout for the rest of an answer that is under way. */
+void RelayedRequest::AwaitMore()
+{
+  if (mAttempt && mPlan->mRoute->IsRetryable()) {
+    ArmAttemptTimer(mContext.mRouter.StreamPauseTimeout(*mPlan, Now()));
+  }
+}
+
 void RelayedRequest::OnDone(bool aReusable)
 {
-  mAttemptTimer.cancel();
+  CancelAttemptTimer();
   if (mIsStream) {
     FinishStream(aReusable);
   } else {
--- a/modules/skylarkchute_relay/requests/RelayedRequest.h
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.h
@@ -63,6 +63,7 @@
   void RecordFirstByte();
   bool HasAnswerGotFar() const;
   void RecordProgress();
+  void AwaitMore();
   bool ForwardEvents(const std::vector<StreamEvent>& aEvents);
   void FinishBuffered(bool aReusable);
   void FinishStream(bool aReusable);
--- a/tests/skylarkchute_relay/AttemptTests.cpp
+++ b/tests/skylarkchute_relay/AttemptTests.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace skylarkchute;
 using std::chrono::milliseconds;
 
@@ -103,6 +105,27 @@
   CHECK(other.mRequests.size() == 1);
 }
 
+TEST_CASE("an answer with a length that is under way is not asked for again")
+{
+  RelayFixture relay;
+  boost::asio::steady_timer delay(relay.mLoop);
+  const auto handler = [&](const std::string& aRequest, const FakeEndpoint::Socket& aSocket) {
+    const auto response = SealedResponse(aRequest, 200, "0123456789");
+    WriteAll(aSocket, response.substr(0, response.size() - 2));
+    delay.expires_after(milliseconds(600));
+    delay.async_wait([aSocket](const boost::system::error_code&) { WriteAll(aSocket, "89"); });
+  };
+  FakeEndpoint first(relay.mLoop, handler);
+  FakeEndpoint second(relay.mLoop, handler);
+  relay.AddEndpoint("e1", first.Address());
+  relay.AddEndpoint("e2", second.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller, CallerRequest("GET", "/check/1", "r1"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("0123456789") != std::string::npos; }));
+  CHECK(first.mRequests.size() + second.mRequests.size() == 1);
+}
+
 TEST_CASE("a slow answer is waited for while no other endpoint can give it")
 {
   RelayFixture relay;
