A timer that expired while the event loop was stalled does not end a sound attempt

Callers' streams were asked for again, or cut, after their relay had stood still for longer than a timeout, all at once, although their events had arrived meanwhile. Cause: the handler of an expired timer stays queued when the timer is armed again, and nothing told the two apart; late timers went before the bytes in the sockets. Timers are numbered now, and one that fires over 100 ms late is armed again for 100 ms, so that waiting bytes are read first. Found by the review of the silent endpoints.

Test, failing before: relay, "a stream whose relay was stalled goes on with the events that arrived meanwhile".

--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -27,6 +27,10 @@
 /** Interval at which a replacement is looked for while an endpoint is silent. */
 constexpr milliseconds kReplacementInterval{ 250 };
 
+/** A timer that fires later than this shows that the event loop was stalled. Bytes that arrived
+    meanwhile are read before the endpoint counts as silent. */
+constexpr milliseconds kStallTolerance{ 100 };
+
 TimePoint Now()
 {
   return std::chrono::steady_clock::now();
@@ -142,11 +146,35 @@
 void RelayedRequest::ArmAttemptTimer(milliseconds aTime)
 {
   mAttemptTimer.expires_after(aTime);
-  mAttemptTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
-    if (!aError) {
-      self->OnAttemptTimeout();
-    }
-  });
+  mAttemptTimer.async_wait(
+    [self = shared_from_this(), number = ++mTimerNumber](const boost::system::error_code& aError) {
+      if (!aError) {
+        self->OnAttemptTimer(number);
+      }
+    });
+}
+
+/** Cancels the timer, also if it has expired and its handler is queued. */
+void RelayedRequest::CancelAttemptTimer()
+{
+  ++mTimerNumber;
+  mAttemptTimer.cancel();
+}
+
+void RelayedRequest::OnAttemptTimer(std::uint64_t aNumber)
+{
+  if (aNumber != mTimerNumber || mIsFinished) {
+    return;
+  }
+  if (Now() - mAttemptTimer.expiry() > kStallTolerance) {
+    ArmAttemptTimer(kStallTolerance);
+    return;
+  }
+  if (mAttempt) {
+    OnAttemptTimeout();
+  } else {
+    TryNextAttempt();
+  }
 }
 
 HeadChoice RelayedRequest::OnHead(const ResponseReader& aReader)
@@ -399,9 +427,6 @@
 
 void RelayedRequest::OnAttemptTimeout()
 {
-  if (mIsFinished || !mAttempt) {
-    return;
-  }
   if (!mWasSent) {
     mConnection->Close();
     EndAttempt(RelayOutcome::Unreachable);
@@ -433,7 +458,7 @@
   if (!mAttempt) {
     return;
   }
-  mAttemptTimer.cancel();
+  CancelAttemptTimer();
   LogFailedAttempt(aOutcome);
   if (MayHaveRun(aOutcome) && aOutcome != RelayOutcome::Answered && !HasAnswerGotFar()) {
     mContext.mRouter.OnEndedEarly(*mPlan, *mAttempt, aOutcome, Now());
@@ -590,7 +615,7 @@
 {
   mIsFinished = true;
   mDeadlineTimer.cancel();
-  mAttemptTimer.cancel();
+  CancelAttemptTimer();
   mConnection.reset();
 }
 
--- a/modules/skylarkchute_relay/requests/RelayedRequest.h
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.h
@@ -56,8 +56,11 @@
   void FailRequest(const RelayRefusal& aRefusal);
   void OnAttemptTimeout();
   void WaitOnSilentEndpoint();
+  void WaitForAttempt();
   void OnDeadline();
   void ArmAttemptTimer(std::chrono::milliseconds aTime);
+  void CancelAttemptTimer();
+  void OnAttemptTimer(std::uint64_t aNumber);
   void RecordNotice();
   void SwitchToLargerModel();
   void RecordFirstByte();
@@ -85,6 +88,7 @@
   std::shared_ptr<ClientConnection> mConnection;
   boost::asio::steady_timer mDeadlineTimer;
   boost::asio::steady_timer mAttemptTimer;
+  std::uint64_t mTimerNumber = 0; /**< Tells a timer that was armed again from one that expired. */
   TimePoint mArrival{};
   TimePoint mSentAt{};
   TimePoint mFirstByteAt{};
--- a/tests/skylarkchute_relay/AttemptTests.cpp
+++ b/tests/skylarkchute_relay/AttemptTests.cpp
@@ -105,6 +105,31 @@
   CHECK(other.mRequests.size() == 1);
 }
 
+TEST_CASE("a stream whose relay was stalled goes on with the events that arrived meanwhile")
+{
+  RelayFixture relay;
+  FakeEndpoint::Socket connection;
+  const auto handler = [&](const std::string& aRequest, const FakeEndpoint::Socket& aSocket) {
+    connection = aSocket;
+    WriteAll(aSocket, StreamResponseHead(aRequest) + EventChunk(1));
+  };
+  FakeEndpoint first(relay.mLoop, handler);
+  FakeEndpoint second(relay.mLoop, handler);
+  relay.AddEndpoint("e1", first.Address());
+  relay.AddEndpoint("e2", second.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller, CallerRequest("POST", "/chat/1", "r1", "x"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("id: 1") != std::string::npos; }));
+  WriteAll(connection, EventChunk(2));
+  std::this_thread::sleep_for(milliseconds(1700));
+  REQUIRE(relay.RunUntil([&] { return answer->find("id: 2") != std::string::npos; }));
+  WriteAll(connection, EventChunk(3) + "0\r\n\r\n");
+  REQUIRE(relay.RunUntil([&] { return answer->find("\r\n0\r\n\r\n") != std::string::npos; }));
+  CHECK(CountOccurrences(*answer, "id: 3\n") == 1);
+  CHECK(first.mRequests.size() + second.mRequests.size() == 1);
+}
+
 TEST_CASE("an answer with a length that is under way is not asked for again")
 {
   RelayFixture relay;
