Streams that have begun wait for an attempt that may become possible

Callers' streams were cut in the middle when the endpoint that was to go on with them refused (all full, say) or none was open at that moment, although time was left. Cause: each refusal of a next attempt counted as final. Found by the review of the silent endpoints.

Test, failing before: relay, "a stream goes back to its silent endpoint when the one that took over refuses it".

--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -528,6 +528,10 @@
     Finish();
     return;
   }
+  if (mHasStreamStarted && mContext.mRouter.MayAttemptLater(*mPlan, aRefusal.mReason)) {
+    WaitForAttempt();
+    return;
+  }
   if (mHasStreamStarted) {
     responder->Abort();
     Finish();
@@ -551,6 +555,13 @@
   Refuse(aRefusal);
 }
 
+/** Tries again after a while to go on with a stream, also at endpoints that did not before. */
+void RelayedRequest::WaitForAttempt()
+{
+  mPlan->mTried.clear();
+  ArmAttemptTimer(kReplacementInterval);
+}
+
 void RelayedRequest::OnDeadline()
 {
   if (mIsFinished) {
--- a/tests/skylarkchute_relay/AttemptTests.cpp
+++ b/tests/skylarkchute_relay/AttemptTests.cpp
@@ -105,6 +105,33 @@
   CHECK(other.mRequests.size() == 1);
 }
 
+TEST_CASE("a stream goes back to its silent endpoint when the one that took over refuses it")
+{
+  RelayFixture relay;
+  FakeEndpoint silent(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    const bool isResumed = aRequest.find("Last-Event-Id: 1") != std::string::npos;
+    WriteAll(aSocket,
+             StreamResponseHead(aRequest) +
+               (isResumed ? EventChunk(2) + "0\r\n\r\n" : EventChunk(1)));
+  });
+  FakeEndpoint full(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    auto response = SealedResponse(aRequest, 503, "full");
+    response.insert(response.find("\r\n") + 2, "Skylarkchute-Not-Executed: 1\r\n");
+    WriteAll(aSocket, response);
+  });
+  relay.AddEndpoint("e1", silent.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller, CallerRequest("POST", "/chat/1", "r1", "x"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("id: 1") != std::string::npos; }));
+  relay.AddEndpoint("e2", full.Address());
+  REQUIRE(relay.RunUntil(
+    [&] { return relay.mIsClosed[0] || answer->find("\r\n0\r\n\r\n") != std::string::npos; }));
+  CHECK(full.mRequests.size() >= 1);
+  CHECK(CountOccurrences(*answer, "id: 1\n") == 1);
+  CHECK(CountOccurrences(*answer, "id: 2\n") == 1);
+}
+
 TEST_CASE("a stream whose relay was stalled goes on with the events that arrived meanwhile")
 {
   RelayFixture relay;
