--- a/modules/skylarkchute_routing/fleet/PromptPartSuspects.cpp
+++ b/modules/skylarkchute_routing/fleet/PromptPartSuspects.cpp
@@ -1,6 +1,7 @@
 #include "PromptPartSuspects.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace skylarkchute {
 
@@ -25,9 +26,13 @@
 /** How long an ended request is kept while the state of its endpoint is unknown. */
 constexpr milliseconds kEndedLifetime{ 2000 };
 
-/** How long crashes and proofs are reported to the other instances. */
+/** How long crashes are reported to the other instances. */
 constexpr milliseconds kReportPeriod{ 5000 };
 
+/** How long proofs that clear a suspect are reported and kept. Crashes of refused parts go round
+    among the instances until all know of the proof. */
+constexpr milliseconds kClearingPeriod{ 30000 };
+
 /** A suspect is forgotten this long after its last crash. */
 constexpr std::chrono::minutes kSuspectLifetime{ 10 };
 
@@ -132,7 +137,7 @@
 void PromptPartSuspects::AddCrash(Part aPart, const std::string& aEndpoint, TimePoint aTime)
 {
   const auto proof = mProofs.find(aPart);
-  if (proof != mProofs.end() && proof->second >= aTime) {
+  if (proof != mProofs.end() && proof->second.mTime >= aTime) {
     return;
   }
   if (mSuspects.size() >= kMaxSuspects && mSuspects.find(aPart) == mSuspects.end()) {
@@ -148,12 +153,14 @@
     return;
   }
   auto& proof = mProofs[aPart];
-  proof = std::max(proof, aTime);
+  proof.mTime = std::max(proof.mTime, aTime);
   const auto found = mSuspects.find(aPart);
   if (found == mSuspects.end()) {
     return;
   }
-  std::erase_if(found->second.mCrashes, [&](const auto& aCrash) { return aCrash.second <= proof; });
+  proof.mClearedAt = proof.mTime;
+  std::erase_if(found->second.mCrashes,
+                [&](const auto& aCrash) { return aCrash.second <= proof.mTime; });
   if (found->second.mCrashes.empty()) {
     mSuspects.erase(found);
   }
@@ -192,12 +199,16 @@
       }
     }
   }
-  for (const auto& [part, time] : mProofs) {
-    if (report.mProofs.size() < kMaxReportedProofs && mSuspects.count(part) > 0 &&
-        aNow - time < kReportPeriod) {
-      report.mProofs.push_back({ part, AgeOf(time, aNow) });
+  for (const auto& [part, proof] : mProofs) {
+    if (proof.mClearedAt && aNow - *proof.mClearedAt < kClearingPeriod) {
+      report.mProofs.push_back({ part, AgeOf(proof.mTime, aNow) });
     }
   }
+  std::sort(
+    report.mProofs.begin(), report.mProofs.end(), [](const auto& aLeft, const auto& aRight) {
+      return std::tie(aLeft.mAge, aLeft.mPart) < std::tie(aRight.mAge, aRight.mPart);
+    });
+  report.mProofs.resize(std::min(report.mProofs.size(), kMaxReportedProofs));
   return report;
 }
 
@@ -240,7 +251,7 @@
     return false;
   }
   const auto proof = mProofs.find(aPart);
-  if (proof != mProofs.end() && aNow - proof->second < kProofLifetime) {
+  if (proof != mProofs.end() && aNow - proof->second.mTime < kProofLifetime) {
     return false;
   }
   const auto [first, last] = std::minmax_element(
@@ -330,7 +341,10 @@
 void PromptPartSuspects::Prune(TimePoint aNow)
 {
   ApplyAnswers(aNow);
-  std::erase_if(mProofs, [&](const auto& aProof) { return aNow - aProof.second > kReportPeriod; });
+  std::erase_if(mProofs, [&](const auto& aProof) {
+    return aNow - aProof.second.mTime >
+           (aProof.second.mClearedAt ? kClearingPeriod : kProofLifetime);
+  });
   for (auto& [part, suspect] : mSuspects) {
     std::erase_if(suspect.mCrashes,
                   [&](const auto& aCrash) { return aNow - aCrash.second > kSuspectLifetime; });
--- a/modules/skylarkchute_routing/fleet/PromptPartSuspects.h
+++ b/modules/skylarkchute_routing/fleet/PromptPartSuspects.h
@@ -116,6 +116,14 @@
     bool mIsRefused = false;
   };
 
+  /** Latest answer that got far to a prompt with a part. */
+  struct LatestProof
+  {
+    TimePoint mTime{};
+    /** When the part last was a suspect of this instance; others may still suspect it. */
+    std::optional<TimePoint> mClearedAt;
+  };
+
   /** A request that has ended at an endpoint. */
   struct EndedRequest
   {
@@ -134,7 +142,7 @@
   bool IsTrialDue(Part aPart, const Suspect& aSuspect, TimePoint aNow) const;
 
   Suspects mSuspects;
-  std::unordered_map<Part, TimePoint> mProofs;
+  std::unordered_map<Part, LatestProof> mProofs;
   std::map<std::string, std::vector<EndedRequest>> mEnded; /**< By endpoint. */
   std::set<std::string> mExplained;
   std::vector<Refusal> mNewRefusals;
