Answers that are held until their end are bounded in memory

Cause: a body that is not a stream was appended to the response until its end or the deadline, with no limit on one answer or on all of them.

Ruled out: the parser's body limit; it would count a stream's body too, which passes through and has no total length.

An answer that gets none is dropped: its connection is closed at once and the attempt ends as damaged.

--- a/modules/skylarkchute_relay/requests/RelayContext.h
+++ b/modules/skylarkchute_relay/requests/RelayContext.h
@@ -2,6 +2,7 @@
 
 #include "../endpoints/CrashProbe.h"
 #include "../endpoints/EndpointPool.h"
+#include "AnswerMemory.h"
 #include "StartupQueue.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,6 +19,7 @@
   EndpointPool& mPool;
   CrashProbe& mCrashProbe;
   StartupQueue& mStartupQueue;
+  AnswerMemory& mAnswerMemory;
   const EventLog& mLog;
   MetricsRegistry& mMetrics;
   const bool& mIsLeaving;  /**< Set once the process has received a stop signal. */
--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -113,6 +113,7 @@
   mIsStream = false;
   mEndpointHead = EndpointHead{};
   mResponse = BufferedResponse{};
+  mResponse.mMemory = AnswerMemory::Share(mContext.mAnswerMemory);
   mSplitter = EventSplitter{};
   const auto now = Now();
   mSentAt = now;
@@ -233,15 +234,25 @@
 
 void RelayedRequest::OnBody(std::string aBytes)
 {
-  if (!mIsStream) {
-    mResponse.mBody.append(aBytes);
+  if (mIsStream) {
+    if (!ForwardEvents(mSplitter.Feed(aBytes))) {
+      DropDamagedAttempt();
+    }
     return;
   }
-  if (!ForwardEvents(mSplitter.Feed(aBytes))) {
-    mConnection->Close();
-    EndAttempt(RelayOutcome::Damaged);
-    TryNextAttempt();
+  if (!mResponse.mMemory.Grow(aBytes.size())) {
+    DropDamagedAttempt();
+    return;
   }
+  mResponse.mBody.append(aBytes);
+}
+
+/** Gives up an answer before its end and starts the next attempt. */
+void RelayedRequest::DropDamagedAttempt()
+{
+  mConnection->Close();
+  EndAttempt(RelayOutcome::Damaged);
+  TryNextAttempt();
 }
 
 /** Sends the caller the events that it has not received yet.
--- a/modules/skylarkchute_relay/requests/RelayedRequest.h
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.h
@@ -46,6 +46,7 @@
     unsigned mStatus = 0;
     boost::beast::http::fields mFields;
     std::string mBody;
+    AnswerMemory::Share mMemory;
   };
 
   void AdmitRequest(const RelayRequest& aRequest);
@@ -53,6 +54,7 @@
   void SendAttempt(AttemptPlan aAttempt);
   void EndAttempt(RelayOutcome aOutcome);
   void TryNextAttempt();
+  void DropDamagedAttempt();
   void FailRequest(const RelayRefusal& aRefusal);
   void OnAttemptTimeout();
   void WaitOnSilentEndpoint();
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -82,8 +82,8 @@
               mMirror,
               mRouter.Rollouts(),
               mLog)
-  , mContext{ mLoop, mRouter,  mPool,      mCrashProbe, mStartupQueue,
-              mLog,  mMetrics, mIsLeaving, mRefusesNew }
+  , mContext{ mLoop,         mRouter, mPool,    mCrashProbe, mStartupQueue,
+              mAnswerMemory, mLog,    mMetrics, mIsLeaving,  mRefusesNew }
   , mCallerServer(mContext)
   , mReadyServer(mLoop, [this](const ControlRequest& aRequest) { return AnswerReady(aRequest); })
   , mPeerServer(mLoop, [this](const ControlRequest& aRequest) { return AnswerPeer(aRequest); })
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -78,6 +78,7 @@
   MemberRecord mSelf;
   EventLog mLog;
   MetricsRegistry mMetrics;
+  AnswerMemory mAnswerMemory; /**< Used by requests that live in the loop's handlers. */
   boost::asio::io_context mLoop;
   std::minstd_rand mRandom;
   FleetRouter mRouter;
--- a/tests/skylarkchute_relay/RelayFixture.h
+++ b/tests/skylarkchute_relay/RelayFixture.h
@@ -66,6 +66,7 @@
   std::shared_ptr<std::string> ReceiveAsync(
     const std::shared_ptr<boost::asio::ip::tcp::socket>& aSocket);
 
+  AnswerMemory mAnswerMemory; /**< Used by requests that live in the loop's handlers. */
   boost::asio::io_context mLoop{ 1 };
   EventLog mLog{ "test", LogFormat::Text, EventLevel::Error };
   MetricsRegistry mMetrics;
@@ -75,8 +76,8 @@
   bool mRefusesNew = false;
   CrashProbe mCrashProbe{ mLoop, mRouter, mLog };
   StartupQueue mStartupQueue{ mLoop };
-  RelayContext mContext{ mLoop, mRouter,  mPool,      mCrashProbe, mStartupQueue,
-                         mLog,  mMetrics, mIsLeaving, mRefusesNew };
+  RelayContext mContext{ mLoop,         mRouter, mPool,    mCrashProbe, mStartupQueue,
+                         mAnswerMemory, mLog,    mMetrics, mIsLeaving,  mRefusesNew };
   CallerServer mServer{ mContext };
   std::vector<bool> mIsClosed; /**< One per ReceiveAsync() call, in order. */
 };
