A stated length of an answer takes no memory before its bytes have come

Cause: Beast's string_body reserves the whole Content-Length when the head is complete. A length beyond what can be allocated throws std::bad_alloc from the event loop, which ends the process: one head of an endpoint, the store or a peer is enough.

Ruled out: a body limit of the parser; a stream has no total limit.

Change: responses are parsed into ReceivedBody, which allocates for bytes that have arrived only.

--- a/modules/skylarkchute_relay/http/ResponseReader.h
+++ b/modules/skylarkchute_relay/http/ResponseReader.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "ReceivedBody.h"
+
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 #include <string>
@@ -40,7 +41,7 @@
   std::string TakeBody();
 
 private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<ReceivedBody>;
 
   std::unique_ptr<Parser> mParser;
   bool mIsMalformed = false;
--- a/tests/skylarkchute_relay/EndlessAnswerTests.cpp
+++ b/tests/skylarkchute_relay/EndlessAnswerTests.cpp
@@ -196,3 +196,11 @@
     CHECK(it->PeakGrowth() < 50 * kMiB);
   }
 }
+
+TEST_CASE("a length that an endpoint states takes no memory before its bytes have come")
+{
+  // More than any allocation can have: it ended the process.
+  EndlessRelay relay(
+    kSealedHead + "Content-Length: 9000000000000000000\r\n\r\n", "x", kWholeAnswer);
+  CheckNextAnswer(relay, 24 * kMiB);
+}
