The head of a chunk and a trailer have a limit

Cause: Beast's parser limits the head of a message only. It leaves the head of a chunk and a trailer unconsumed until their end, so that the bytes kept for the next read grew without end and were copied on every read.

Change: a connection that leaves more than 128 KiB unconsumed fails as malformed.

--- a/modules/skylarkchute_relay/net/ClientConnection.cpp
+++ b/modules/skylarkchute_relay/net/ClientConnection.cpp
@@ -16,6 +16,10 @@
 
 constexpr std::size_t kReadBytes = 64 * 1024;
 
+/** Bytes that the reader may leave for later: the beginning of a head, of a chunk's head or of a
+    trailer. */
+constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
+
 /** Shared by all connections of the event loop, since the bytes are parsed before the next read. */
 std::array<char, kReadBytes>& ReadBuffer()
 {
@@ -209,9 +213,14 @@
       break;
     }
   }
-  if (mIsBusy) {
-    mUnparsed.assign(aBytes);
+  if (!mIsBusy) {
+    return;
+  }
+  if (aBytes.size() > kMaxUnparsedBytes) {
+    Fail(ConnectionFailure::Malformed);
+    return;
   }
+  mUnparsed.assign(aBytes);
 }
 
 /** Passes the response head and the body read so far to the listener.
--- a/modules/skylarkchute_relay/net/ClientConnection.h
+++ b/modules/skylarkchute_relay/net/ClientConnection.h
@@ -18,7 +18,7 @@
 {
   NotConnected, /**< Not established, or closed before the request was sent. */
   Closed,       /**< The connection closed before the response was complete. */
-  Malformed,    /**< The received bytes are not a valid HTTP response. */
+  Malformed,    /**< The received bytes are not a valid HTTP response or do not end. */
 };
 
 /** What to do with a response, decided when its head has arrived. */
--- a/tests/skylarkchute_relay/EndlessAnswerTests.cpp
+++ b/tests/skylarkchute_relay/EndlessAnswerTests.cpp
@@ -204,3 +204,17 @@
     kSealedHead + "Content-Length: 9000000000000000000\r\n\r\n", "x", kWholeAnswer);
   CheckNextAnswer(relay, 24 * kMiB);
 }
+
+TEST_CASE("a chunk's head or a trailer without end is closed as damaged")
+{
+  const auto begin = GENERATE(as<std::string>(), "5;x=", "0\r\nX-Trailer: ");
+  EndlessRelay relay(kSealedHead + "Transfer-Encoding: chunked\r\n\r\n" + begin, "x", kWholeAnswer);
+  CheckNextAnswer(relay, 2 * kMiB);
+}
+
+TEST_CASE("a response head without end is closed as damaged")
+{
+  const auto begin = GENERATE(as<std::string>(), "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nX: ");
+  EndlessRelay relay(begin, "x", kWholeAnswer);
+  CheckNextAnswer(relay, 2 * kMiB);
+}
