Responses before the expected one are bounded

Cause: interim responses and responses to other requests are discarded until the expected one comes, with no limit on how many or how long. One endpoint kept a request, its connection and the event loop busy until the deadline.

Ruled out: memory; discarded bodies are not held.

Change: after 32 such responses, or 8 MiB of their bodies, the connection fails as malformed, so that the attempt ends as damaged.

--- a/modules/skylarkchute_relay/net/ClientConnection.cpp
+++ b/modules/skylarkchute_relay/net/ClientConnection.cpp
@@ -20,6 +20,11 @@
     trailer. */
 constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
 
+/** Interim responses and responses to other requests that may precede the expected one, and the
+    bytes that the bodies of the latter may have. */
+constexpr unsigned kMaxSkippedResponses = 32;
+constexpr std::size_t kMaxSkippedBytes = 8 * 1024 * 1024;
+
 /** Shared by all connections of the event loop, since the bytes are parsed before the next read. */
 std::array<char, kReadBytes>& ReadBuffer()
 {
@@ -73,6 +78,8 @@
   mOnIdleClosed = nullptr;
   mIsHeadHandled = false;
   mIsSkipped = false;
+  mSkippedResponses = 0;
+  mSkippedBytes = 0;
   mIsBusy = true;
   if (mIsOpen) {
     Write();
@@ -246,21 +253,36 @@
     return false;
   }
   auto body = mReader->TakeBody();
-  if (!mIsSkipped && !body.empty()) {
+  if (mIsSkipped) {
+    mSkippedBytes += body.size();
+    return !FailIfSkippedTooMuch();
+  }
+  if (!body.empty()) {
     listener->OnBody(std::move(body));
   }
   return mIsBusy;
 }
 
+/** @returns whether the connection failed since the expected response does not come */
+bool ClientConnection::FailIfSkippedTooMuch()
+{
+  if (mSkippedResponses <= kMaxSkippedResponses && mSkippedBytes <= kMaxSkippedBytes) {
+    return false;
+  }
+  Fail(ConnectionFailure::Malformed);
+  return true;
+}
+
 /** Handles the end of a response. A skipped response is discarded and the next one is read.
-    @returns false when the response was skipped */
+    @returns false when the response was skipped and the next one is awaited */
 bool ClientConnection::FinishResponse()
 {
   if (mIsSkipped) {
     mReader = std::make_unique<ResponseReader>(IsHeadRequest(mHead));
     mIsHeadHandled = false;
     mIsSkipped = false;
-    return false;
+    ++mSkippedResponses;
+    return FailIfSkippedTooMuch();
   }
   const bool reusable = mIsOpen && mReader->IsKeepAlive() && !mIsWriting;
   mIsBusy = false;
--- a/modules/skylarkchute_relay/net/ClientConnection.h
+++ b/modules/skylarkchute_relay/net/ClientConnection.h
@@ -93,6 +93,7 @@
   void OnReadable(const ErrorCode& aError);
   void Parse(std::string_view aBytes);
   bool NotifyListener();
+  bool FailIfSkippedTooMuch();
   bool FinishResponse();
   void OnConnectionEnded(bool aIsEof);
   void Fail(ConnectionFailure aFailure);
@@ -108,6 +109,8 @@
   std::string mUnparsed; /**< Bytes that the reader has not consumed yet. */
   std::function<void()> mOnIdleClosed;
   std::chrono::seconds mIdleTimeout{ 0 };
+  unsigned mSkippedResponses = 0; /**< Before the response to the current request. */
+  std::size_t mSkippedBytes = 0;  /**< Of their bodies. */
   bool mIsOpen = false;
   bool mIsBusy = false;
   bool mIsWaitingForReset = false;
--- a/tests/skylarkchute_relay/EndlessAnswerTests.cpp
+++ b/tests/skylarkchute_relay/EndlessAnswerTests.cpp
@@ -218,3 +218,23 @@
   EndlessRelay relay(begin, "x", kWholeAnswer);
   CheckNextAnswer(relay, 2 * kMiB);
 }
+
+TEST_CASE("responses without end before the expected one are closed as damaged")
+{
+  const auto other = kSealedHead.substr(0, kSealedHead.find("r1")) + "other\r\n";
+  SECTION("interim responses")
+  {
+    EndlessRelay relay("", "HTTP/1.1 103 Early Hints\r\n\r\n", kWholeAnswer);
+    CheckOnlyAttemptIsDamaged(relay);
+  }
+  SECTION("responses to other requests")
+  {
+    EndlessRelay relay("", other + "Content-Length: 2\r\n\r\nno", kWholeAnswer);
+    CheckOnlyAttemptIsDamaged(relay);
+  }
+  SECTION("a response to another request whose body does not end")
+  {
+    EndlessRelay relay(other + "\r\n", "x", kWholeAnswer);
+    CheckOnlyAttemptIsDamaged(relay);
+  }
+}
