One event of a stream has a limit, and its pieces are read once

Cause: EventSplitter kept an incomplete event without a limit and looked through all of it again on every read, so that an event without end took memory without bound and time that grows with the square of its length.

Change: the splitter goes on where it stopped; an incomplete event of more than 1 MiB ends the attempt as damaged, and the stream goes on at another endpoint after its last whole event.

Now below 4 MiB and below 1 s.

--- a/modules/skylarkchute_relay/http/EventSplitter.cpp
+++ b/modules/skylarkchute_relay/http/EventSplitter.cpp
@@ -32,39 +32,37 @@
   return std::nullopt;
 }
 
-/** Returns the length in bytes of the first complete event, zero when there is none. */
-std::size_t EventLength(std::string_view aBytes)
-{
-  std::size_t start = 0;
-  while (true) {
-    const auto newline = aBytes.find('\n', start);
-    if (newline == std::string_view::npos) {
-      return 0;
-    }
-    const auto line = aBytes.substr(start, newline - start);
-    if (line.empty() || line == "\r") {
-      return newline + 1;
-    }
-    start = newline + 1;
-  }
-}
+constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
 } // namespace
 
 std::vector<StreamEvent> EventSplitter::Feed(std::string_view aBytes)
 {
+  auto scanned = mPartialEvent.size();
   mPartialEvent.append(aBytes);
   std::vector<StreamEvent> events;
   std::size_t taken = 0;
-  while (const auto length = EventLength(std::string_view(mPartialEvent).substr(taken))) {
-    StreamEvent event;
-    event.mBytes = mPartialEvent.substr(taken, length);
-    event.mId = IdOf(event.mBytes);
-    events.push_back(std::move(event));
-    taken += length;
+  for (auto newline = mPartialEvent.find('\n', scanned); newline != std::string::npos;
+       newline = mPartialEvent.find('\n', scanned)) {
+    const auto line = std::string_view(mPartialEvent).substr(mLineStart, newline - mLineStart);
+    scanned = newline + 1;
+    mLineStart = scanned;
+    if (line.empty() || line == "\r") {
+      StreamEvent event;
+      event.mBytes = mPartialEvent.substr(taken, mLineStart - taken);
+      event.mId = IdOf(event.mBytes);
+      events.push_back(std::move(event));
+      taken = mLineStart;
+    }
   }
   mPartialEvent.erase(0, taken);
+  mLineStart -= taken;
   return events;
 }
 
+bool EventSplitter::IsEventTooLong() const
+{
+  return mPartialEvent.size() > kMaxEventBytes;
+}
+
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/http/EventSplitter.h
+++ b/modules/skylarkchute_relay/http/EventSplitter.h
@@ -25,8 +25,12 @@
   /** Returns whether an incomplete event is buffered. */
   bool HasPartialEvent() const { return !mPartialEvent.empty(); }
 
+  /** Returns whether the incomplete event has passed the limit of 1 MiB. */
+  bool IsEventTooLong() const;
+
 private:
   std::string mPartialEvent;
+  std::size_t mLineStart = 0; /**< Of the incomplete line, in mPartialEvent. */
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -235,7 +235,7 @@
 void RelayedRequest::OnBody(std::string aBytes)
 {
   if (mIsStream) {
-    if (!ForwardEvents(mSplitter.Feed(aBytes))) {
+    if (!ForwardEvents(mSplitter.Feed(aBytes)) || mSplitter.IsEventTooLong()) {
       DropDamagedAttempt();
     }
     return;
--- a/tests/skylarkchute_relay/EndlessAnswerTests.cpp
+++ b/tests/skylarkchute_relay/EndlessAnswerTests.cpp
@@ -238,3 +238,36 @@
     CheckOnlyAttemptIsDamaged(relay);
   }
 }
+
+TEST_CASE("an event without end is closed as damaged, and the stream goes on elsewhere")
+{
+  const auto repeated = GENERATE(as<std::string>(), "x", "data: x\n");
+  EndlessRelay relay(
+    kSealedHead + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\nid: 2\ndata: ",
+    repeated,
+    kSealedHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      EventChunk(2) + EventChunk(3) + "0\r\n\r\n");
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller, CallerRequest("POST", "/chat/1", "r1", "x"));
+  CHECK(relay.RunUntil([&] { return answer->find("\r\n0\r\n\r\n") != std::string::npos; }));
+  CHECK(answer->find("id: 1\ndata: x\n\n") != std::string::npos);
+  CHECK(answer->find("id: 2\ndata: x\n\n") != std::string::npos);
+  CHECK(answer->find("id: 3\ndata: x\n\n") != std::string::npos);
+  CHECK(relay.RunUntil([&] { return relay.mSender->IsClosed(); }));
+  CHECK(relay.mSender->PeakGrowth() < 4 * kMiB);
+}
+
+TEST_CASE("an event that comes in small pieces takes time in proportion to its length")
+{
+  constexpr std::size_t kLines = 64 * 1024;
+  EventSplitter splitter;
+  const auto start = std::chrono::steady_clock::now();
+  for (std::size_t n = 0; n < kLines; ++n) {
+    REQUIRE(splitter.Feed("data: x\n").empty());
+  }
+  const auto events = splitter.Feed("\n");
+  CHECK(std::chrono::steady_clock::now() - start < milliseconds(1000));
+  REQUIRE(events.size() == 1);
+  CHECK(events[0].mBytes.size() == 8 * kLines + 1);
+}
