Answers of the store and of other instances have a limit

Cause: HttpCall kept whatever arrived until the call's time-out, which is 31.5 s for a watch.

Change: a body of more than 8 MiB, the limit of a peer's request too, fails the call and closes its connection; the caller's own retry follows.

--- a/modules/skylarkchute_relay/net/HttpCall.cpp
+++ b/modules/skylarkchute_relay/net/HttpCall.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::chrono::milliseconds kConnectTimeout{ 600 };
 
+constexpr std::size_t kMaxBodyBytes = 8 * 1024 * 1024;
+
 } // namespace
 
 HttpCall::HttpCall(boost::asio::io_context& aContext, std::string aAddress)
@@ -84,6 +86,11 @@
 
 void HttpCall::OnBody(std::string aBytes)
 {
+  if (mResult.mBody.size() + aBytes.size() > kMaxBodyBytes) {
+    DropConnection();
+    Finish(false);
+    return;
+  }
   mResult.mBody.append(aBytes);
 }
 
--- a/modules/skylarkchute_relay/net/HttpCall.h
+++ b/modules/skylarkchute_relay/net/HttpCall.h
@@ -11,8 +11,8 @@
 
 namespace skylarkchute {
 
-/** Result of a call. Without a response, the server may have executed the call or may still do
-    so. */
+/** Result of a call. A body of more than 8 MiB is no response. Without a response, the server may
+   have executed the call or may still do so. */
 struct CallResult
 {
   bool mHasResponse = false;
--- a/tests/skylarkchute_relay/EndlessAnswerTests.cpp
+++ b/tests/skylarkchute_relay/EndlessAnswerTests.cpp
@@ -1,6 +1,7 @@
 #include "RelayFixture.h"
 
 #include <catch2/catch.hpp>
+#include <skylarkchute_relay/net/HttpCall.h>
 
 #include <malloc.h>
 
@@ -271,3 +272,29 @@
   REQUIRE(events.size() == 1);
   CHECK(events[0].mBytes.size() == 8 * kLines + 1);
 }
+
+TEST_CASE("an answer without end to a call to the store or a peer is closed")
+{
+  RelayFixture relay;
+  std::shared_ptr<EndlessSender> sender;
+  FakeEndpoint server(relay.mLoop, [&](const std::string&, const auto& aSocket) {
+    if (sender) {
+      WriteAll(aSocket, kWholeAnswer);
+      return;
+    }
+    sender = std::make_shared<EndlessSender>(aSocket);
+    sender->Start("HTTP/1.1 200 OK\r\n\r\n", "x");
+  });
+  const auto call = std::make_shared<HttpCall>(relay.mLoop, server.Address());
+  std::vector<bool> answers;
+  const auto record = [&](const CallResult& aResult) { answers.push_back(aResult.mHasResponse); };
+  call->Start("GET", "/a", {}, milliseconds(3000), record);
+  const auto start = std::chrono::steady_clock::now();
+  CHECK(relay.RunUntil([&] { return answers.size() == 1; }));
+  CHECK(std::chrono::steady_clock::now() - start < milliseconds(1500));
+  CHECK(relay.RunUntil([&] { return sender->IsClosed(); }));
+  CHECK(sender->PeakGrowth() < 24 * kMiB);
+  call->Start("GET", "/b", {}, milliseconds(3000), record);
+  CHECK(relay.RunUntil([&] { return answers.size() == 2; }));
+  CHECK(answers == std::vector<bool>{ false, true });
+}
