--- a/modules/skylarkchute_relay/net/ClientConnection.h
+++ b/modules/skylarkchute_relay/net/ClientConnection.h
@@ -18,7 +18,7 @@
 {
   NotConnected, /**< Not established, or closed before the request was sent. */
   Closed,       /**< The connection closed before the response was complete. */
-  Malformed,    /**< The received bytes are not a valid HTTP response. */
+  Malformed,    /**< The received bytes are not a valid HTTP response or do not end. */
 };
 
 /** What to do with a response, decided when its head has arrived. */
@@ -93,6 +93,7 @@
   void OnReadable(const ErrorCode& aError);
   void Parse(std::string_view aBytes);
   bool NotifyListener();
+  bool FailIfSkippedTooMuch();
   bool FinishResponse();
   void OnConnectionEnded(bool aIsEof);
   void Fail(ConnectionFailure aFailure);
@@ -108,6 +109,8 @@
   std::string mUnparsed; /**< Bytes that the reader has not consumed yet. */
   std::function<void()> mOnIdleClosed;
   std::chrono::seconds mIdleTimeout{ 0 };
+  unsigned mSkippedResponses = 0; /**< Before the response to the current request. */
+  std::size_t mSkippedBytes = 0;  /**< Of their bodies. */
   bool mIsOpen = false;
   bool mIsBusy = false;
   bool mIsWaitingForReset = false;
--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -118,6 +118,7 @@
   mIsStream = false;
   mEndpointHead = EndpointHead{};
   mResponse = BufferedResponse{};
+  mResponse.mMemory = AnswerMemory::Share(mContext.mAnswerMemory);
   mSplitter = EventSplitter{};
   const auto now = Now();
   mSentAt = now;
@@ -277,16 +278,26 @@
 
 void RelayedRequest::OnBody(std::string aBytes)
 {
-  if (!mIsStream) {
-    mResponse.mBody.append(aBytes);
-    AwaitMore();
+  if (mIsStream) {
+    if ((!ForwardEvents(mSplitter.Feed(aBytes)) || mSplitter.IsEventTooLong()) && mAttempt) {
+      DropDamagedAttempt();
+    }
     return;
   }
-  if (!ForwardEvents(mSplitter.Feed(aBytes)) && mAttempt) {
-    mConnection->Close();
-    EndAttempt(RelayOutcome::Damaged);
-    TryNextAttempt();
+  if (!mResponse.mMemory.Grow(aBytes.size())) {
+    DropDamagedAttempt();
+    return;
   }
+  mResponse.mBody.append(aBytes);
+  AwaitMore();
+}
+
+/** Gives up an answer before its end and starts the next attempt. */
+void RelayedRequest::DropDamagedAttempt()
+{
+  mConnection->Close();
+  EndAttempt(RelayOutcome::Damaged);
+  TryNextAttempt();
 }
 
 /** Sends the caller the events that it has not received yet.
