A starting instance gets the configuration in force from the others

Cause: only objects of the store travelled between instances, by state of the store. The others had a newer version in force than the store's object, and the copy's object has the same state everywhere, so nothing was passed on. Evidence: run-relays with a relay that starts between the restore and the next change: version 12 in force, must be 14. Change: an exchange names the version in force, and brings the configuration itself if the receiver's is older and the changes of the objects don't bring it (ConfigExchange). Versions are compared, not revisions. Ruled out: keeping the object in the mirror under the new era's revision (all instances then hold different objects of one state, and their digests never agree); holding requests of a starting instance until its first exchange (it may be alone). Left: until its first exchange the starting instance uses the copy's configuration.

--- a/modules/skylarkchute_relay/peers/PeerExchange.cpp
+++ b/modules/skylarkchute_relay/peers/PeerExchange.cpp
@@ -150,6 +150,13 @@
     pair.append(Json::UInt64(state.mAsOf));
     pair.append(Json::UInt64(state.mDigest));
   }
+  if (const auto found = aExchange.mKinds.find(ObjectKind::Config);
+      found != aExchange.mKinds.end()) {
+    value["config_version"] = Json::UInt64(found->second.mInForce);
+  }
+  if (aExchange.mConfigInForce) {
+    value["config"] = ChangesToJson(*aExchange.mConfigInForce);
+  }
   for (const auto& [kind, changes] : aExchange.mChanges) {
     value["changes"][std::string(KindName(kind))] = ChangesToJson(*changes);
   }
@@ -202,6 +209,12 @@
       exchange.mChanges[it] = ChangesFromJson(changes[name]);
     }
   }
+  if (const auto found = exchange.mKinds.find(ObjectKind::Config); found != exchange.mKinds.end()) {
+    found->second.mInForce = JsonCountField(*value, "config_version");
+  }
+  if ((*value)["config"].isObject()) {
+    exchange.mConfigInForce = ChangesFromJson((*value)["config"]);
+  }
   for (const auto& it : JsonArrayField(*value, "evidence")) {
     if (it.isObject()) {
       exchange.mEvidence.push_back(EvidenceFromJson(it));
--- a/modules/skylarkchute_relay/peers/PeerExchange.h
+++ b/modules/skylarkchute_relay/peers/PeerExchange.h
@@ -18,6 +18,9 @@
 {
   StoreVersion mAsOf = 0;    /**< State of the store up to which the kind is known. */
   std::uint64_t mDigest = 0; /**< Hash of names and revisions. @see StoreMirror::Digest */
+  /** Configuration: version in force, which may be newer than the object's; zero for other kinds.
+   */
+  std::uint64_t mInForce = 0;
 };
 
 /** The message that two instances exchange in one call; request and response have the same form. */
@@ -29,6 +32,8 @@
   std::map<ObjectKind, KindState> mKinds;
   /** What the receiver lacks. Shared, since many receivers lack the same. */
   std::map<ObjectKind, std::shared_ptr<const PackedChanges>> mChanges;
+  /** The configuration in force, if that of the receiver is older; may be null. */
+  std::shared_ptr<const PackedChanges> mConfigInForce;
   /** Name of a member that did not answer the sender; the receiver is asked to reach it. */
   std::string mProbe;
   std::vector<std::string> mReached; /**< Members that the sender has reached for the receiver. */
--- a/modules/skylarkchute_relay/runtime/FleetSync.cpp
+++ b/modules/skylarkchute_relay/runtime/FleetSync.cpp
@@ -72,10 +72,10 @@
     LogIgnored(ObjectKind::Config, aObject);
     return;
   }
-  const auto& current = mRouter.Config();
-  if (current && config->mVersion < current->Config().mVersion) {
+  if (config->mVersion < ConfigVersion()) {
     return;
   }
+  mConfigInForce = aObject;
   mLog.Write({ &kConfigInForce,
                { { "version", std::to_string(config->mVersion) },
                  { "revision", std::to_string(RevisionOf(aObject.mRevision)) },
@@ -83,6 +83,12 @@
   mRouter.SetConfig(std::make_shared<const ConfigIndex>(std::move(*config)));
 }
 
+std::uint64_t FleetSync::ConfigVersion() const
+{
+  const auto& config = mRouter.Config();
+  return config ? config->Config().mVersion : 0;
+}
+
 void FleetSync::OnEndpoint(const StoreObject& aObject)
 {
   const EndpointId id(aObject.mName);
--- a/modules/skylarkchute_relay/runtime/FleetSync.h
+++ b/modules/skylarkchute_relay/runtime/FleetSync.h
@@ -21,6 +21,13 @@
       removed has left and is dropped at once. */
   void OnObject(ObjectKind aKind, const StoreObject& aObject);
 
+  /** Returns the object of the configuration in force, or nothing before there is one. The store
+     may hold an older one. */
+  const std::optional<StoreObject>& ConfigInForce() const { return mConfigInForce; }
+
+  /** Returns the version of the configuration in force; zero before there is one. */
+  std::uint64_t ConfigVersion() const;
+
 private:
   void OnConfig(const StoreObject& aObject);
   void OnEndpoint(const StoreObject& aObject);
@@ -32,6 +39,7 @@
   EndpointPool& mPool;
   const EventLog& mLog;
   PeerMesh* mMesh = nullptr;
+  std::optional<StoreObject> mConfigInForce;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -73,6 +73,7 @@
       [this](ObjectKind aKind, const StoreObject& aObject) { mSync.OnObject(aKind, aObject); })
   , mMesh(mLoop, *this, mSelf, mSettings.mSeeds, mRandom())
   , mMirrorExchange(mMirror)
+  , mConfigExchange(mSync, mMirror)
   , mFollowing(mSelf, IsContact(mSettings), mRandom(), Now())
   , mStoreProbe(mLoop, mSettings.mStoreAddress, mSelf.mName)
   , mRecorder(mLoop,
@@ -416,13 +417,14 @@
   const auto now = Now();
   aExchange.mConfirmationAge = mFollowing.ConfirmationAge(now);
   mMirrorExchange.Fill(aExchange, aKnown, aMaxBytes);
+  mConfigExchange.Fill(aExchange, aKnown, aMaxBytes);
   aExchange.mEvidence = mRouter.Rollouts().Evidence(now);
   aExchange.mCrashes = mRouter.Suspects().Recent(now);
 }
 
 bool RelayRuntime::IsBehind(const KnownKinds& aKinds) const
 {
-  return mMirrorExchange.IsBehind(aKinds);
+  return mMirrorExchange.IsBehind(aKinds) || mConfigExchange.IsBehind(aKinds);
 }
 
 /** Tells other instances of the objects if they have changed since the last time. */
@@ -438,6 +440,7 @@
 {
   const auto now = Now();
   mMirrorExchange.Apply(aExchange, OriginOfList(), now);
+  mConfigExchange.Apply(aExchange);
   if (aExchange.mConfirmationAge) {
     mFollowing.OnConfirmation(*aExchange.mConfirmationAge, now);
   }
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -2,7 +2,7 @@
 
 #include "../callers/CallerServer.h"
 #include "../callers/ControlServer.h"
-#include "../peers/MirrorExchange.h"
+#include "../peers/ConfigExchange.h"
 #include "../peers/PeerMesh.h"
 #include "../store/StoreProbe.h"
 #include "../store/StoreWatcher.h"
@@ -88,6 +88,7 @@
   StoreMirror mMirror;
   PeerMesh mMesh;
   MirrorExchange mMirrorExchange;
+  ConfigExchange mConfigExchange;
   StoreFollowing mFollowing;
   StoreProbe mStoreProbe;
   StoreRecorder mRecorder;
