Endpoints that have left stay so after a restore, and on instances that start later

Cause: the table drops a removed endpoint with all that is known of it, and instances exchange the store's objects only. Evidence: FleetSyncTests, "an entry that a copy of the store brings back does not open an endpoint that has left", fails before this change: open after the second era and after the third. Change: EndpointDepartures remembers for 30 s which incarnations have left, with era and revision of the last entry; an entry of a later era whose revision is not above that one comes from the copy and stays closed. A new registration or a new start opens it. DepartureExchange passes on departures that the store does not show, with the start of the endpoint, when the receiver's differ; without a restore and endpoints that say that they leave, nothing is sent but a hash. Ruled out: closing for good what was removed (an endpoint that was cut off from the store registers again with the same start); telling all at once with the spread of changes (three calls of every instance for each endpoint that leaves; the store says the same a moment later). Left: an endpoint that was removed, lives, and registers again in the new era below its old revision is closed for up to 30 s.

--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -158,7 +158,8 @@
   1145,
   EventLevel::Info,
   "endpoint-leaving",
-  "An endpoint said in an answer that it leaves; it gets no new requests."
+  "An endpoint said in an answer that it leaves, or another instance says so (`from`); it gets no "
+  "new requests."
 };
 
 inline constexpr EventDescription kEndpointPaused{
--- a/modules/skylarkchute_relay/peers/MirrorExchange.h
+++ b/modules/skylarkchute_relay/peers/MirrorExchange.h
@@ -4,9 +4,6 @@
 
 namespace skylarkchute {
 
-/** What an instance last reported of its copies of the objects. */
-using KnownKinds = std::map<ObjectKind, KindState>;
-
 /** Compares this instance's copies of the store's objects with those of others, and prepares and
     applies what one of them lacks. Performs no I/O. */
 class MirrorExchange
--- a/modules/skylarkchute_relay/peers/PeerExchange.cpp
+++ b/modules/skylarkchute_relay/peers/PeerExchange.cpp
@@ -98,6 +98,34 @@
   return value;
 }
 
+Json::Value DepartureToJson(const EndpointDeparture& aDeparture)
+{
+  Json::Value value(Json::arrayValue);
+  value.append(aDeparture.mId.Value());
+  value.append(Json::UInt64(aDeparture.mIncarnationStart));
+  value.append(aDeparture.mIsAnnounced);
+  value.append(Json::UInt64(aDeparture.mEra));
+  value.append(Json::UInt64(aDeparture.mRevision));
+  value.append(Json::Int64(aDeparture.mAge.count()));
+  return value;
+}
+
+std::optional<EndpointDeparture> DepartureFromJson(const Json::Value& aValue)
+{
+  constexpr unsigned kFields = 6;
+  if (!aValue.isArray() || aValue.size() != kFields || !aValue[0].isString() ||
+      !aValue[1].isUInt64() || !aValue[2].isBool() || !aValue[3].isUInt64() ||
+      !aValue[4].isUInt64() || !aValue[5].isInt64()) {
+    return std::nullopt;
+  }
+  return EndpointDeparture{ EndpointId(aValue[0].asString()),
+                            aValue[1].asUInt64(),
+                            aValue[2].asBool(),
+                            aValue[3].asUInt64(),
+                            aValue[4].asUInt64(),
+                            std::chrono::milliseconds(aValue[5].asInt64()) };
+}
+
 std::vector<SubjectUse> UsesFromJson(const Json::Value& aValue)
 {
   std::vector<SubjectUse> uses;
@@ -150,9 +178,13 @@
     pair.append(Json::UInt64(state.mAsOf));
     pair.append(Json::UInt64(state.mDigest));
   }
-  if (const auto found = aExchange.mKinds.find(ObjectKind::Config);
-      found != aExchange.mKinds.end()) {
-    value["config_version"] = Json::UInt64(found->second.mInForce);
+  for (const auto& [kind, state] : aExchange.mKinds) {
+    if (state.mInForce != 0) {
+      value["in_force"][std::string(KindName(kind))] = Json::UInt64(state.mInForce);
+    }
+  }
+  for (const auto& it : aExchange.mDepartures) {
+    value["departures"].append(DepartureToJson(it));
   }
   if (aExchange.mConfigInForce) {
     value["config"] = ChangesToJson(*aExchange.mConfigInForce);
@@ -209,8 +241,13 @@
       exchange.mChanges[it] = ChangesFromJson(changes[name]);
     }
   }
-  if (const auto found = exchange.mKinds.find(ObjectKind::Config); found != exchange.mKinds.end()) {
-    found->second.mInForce = JsonCountField(*value, "config_version");
+  for (auto& [kind, state] : exchange.mKinds) {
+    state.mInForce = JsonCountField((*value)["in_force"], std::string(KindName(kind)).c_str());
+  }
+  for (const auto& it : JsonArrayField(*value, "departures")) {
+    if (const auto departure = DepartureFromJson(it)) {
+      exchange.mDepartures.push_back(*departure);
+    }
   }
   if ((*value)["config"].isObject()) {
     exchange.mConfigInForce = ChangesFromJson((*value)["config"]);
--- a/modules/skylarkchute_relay/peers/PeerExchange.h
+++ b/modules/skylarkchute_relay/peers/PeerExchange.h
@@ -18,11 +18,14 @@
 {
   StoreVersion mAsOf = 0;    /**< State of the store up to which the kind is known. */
   std::uint64_t mDigest = 0; /**< Hash of names and revisions. @see StoreMirror::Digest */
-  /** Configuration: version in force, which may be newer than the object's; zero for other kinds.
-   */
+  /** Configuration: version in force, which may be newer than the object's. Endpoints: hash of the
+      departures. @see DepartureExchange */
   std::uint64_t mInForce = 0;
 };
 
+/** What an instance last reported of its copies of the objects. */
+using KnownKinds = std::map<ObjectKind, KindState>;
+
 /** The message that two instances exchange in one call; request and response have the same form. */
 struct PeerExchange
 {
@@ -37,6 +40,7 @@
   /** Name of a member that did not answer the sender; the receiver is asked to reach it. */
   std::string mProbe;
   std::vector<std::string> mReached; /**< Members that the sender has reached for the receiver. */
+  std::vector<EndpointDeparture> mDepartures;
   std::vector<RolloutEvidence> mEvidence;
   std::vector<CrashSuspects::Crash> mCrashes;
 };
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -74,6 +74,7 @@
   , mMesh(mLoop, *this, mSelf, mSettings.mSeeds, mRandom())
   , mMirrorExchange(mMirror)
   , mConfigExchange(mSync, mMirror)
+  , mDepartureExchange(mRouter.Endpoints())
   , mFollowing(mSelf, IsContact(mSettings), mRandom(), Now())
   , mStoreProbe(mLoop, mSettings.mStoreAddress, mSelf.mName)
   , mRecorder(mLoop,
@@ -418,6 +419,7 @@
   aExchange.mConfirmationAge = mFollowing.ConfirmationAge(now);
   mMirrorExchange.Fill(aExchange, aKnown, aMaxBytes);
   mConfigExchange.Fill(aExchange, aKnown, aMaxBytes);
+  mDepartureExchange.Fill(aExchange, aKnown, aMaxBytes, now);
   aExchange.mEvidence = mRouter.Rollouts().Evidence(now);
   aExchange.mCrashes = mRouter.Suspects().Recent(now);
 }
@@ -441,6 +443,11 @@
   const auto now = Now();
   mMirrorExchange.Apply(aExchange, OriginOfList(), now);
   mConfigExchange.Apply(aExchange);
+  for (const auto& it : mDepartureExchange.Apply(aExchange, now)) {
+    mLog.Write(
+      { &kEndpointLeaving,
+        { { "endpoint", it.Value() }, { "from", aExchange.mMembership.mFrom.mRecord.mName } } });
+  }
   if (aExchange.mConfirmationAge) {
     mFollowing.OnConfirmation(*aExchange.mConfirmationAge, now);
   }
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -3,6 +3,7 @@
 #include "../callers/CallerServer.h"
 #include "../callers/ControlServer.h"
 #include "../peers/ConfigExchange.h"
+#include "../peers/DepartureExchange.h"
 #include "../peers/PeerMesh.h"
 #include "../store/StoreProbe.h"
 #include "../store/StoreWatcher.h"
@@ -89,6 +90,7 @@
   PeerMesh mMesh;
   MirrorExchange mMirrorExchange;
   ConfigExchange mConfigExchange;
+  DepartureExchange mDepartureExchange;
   StoreFollowing mFollowing;
   StoreProbe mStoreProbe;
   StoreRecorder mRecorder;
--- a/modules/skylarkchute_routing/fleet/FleetEndpoint.h
+++ b/modules/skylarkchute_routing/fleet/FleetEndpoint.h
@@ -22,7 +22,9 @@
   bool mDraining = false;
   std::chrono::milliseconds mRemainingWarmup{ 0 }; /**< Remaining warm-up time; slow until then. */
   std::uint64_t mIncarnationStart =
-    0; /**< Start of this incarnation; differs when an id is reused. */
+    0;                         /**< Start of this incarnation; differs when an id is reused. */
+  std::uint64_t mEra = 0;      /**< Era of the store from which the entry was read. */
+  std::uint64_t mRevision = 0; /**< Of the entry; given out again in a later era. */
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/fleet/FleetTable.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetTable.cpp
@@ -44,8 +44,14 @@
   const bool wasDraining = row.mEntry.mDraining;
   row.mEntry = aEntry;
   // A store that was restored from a copy shows entries from before they were draining.
-  row.mEntry.mDraining = wasDraining || aEntry.mDraining;
+  row.mEntry.mDraining = wasDraining || aEntry.mDraining || mDepartures.HasAnnounced(aEntry);
+  row.mIsLeavingUnseen = row.mEntry.mDraining && !aEntry.mDraining;
+  row.mWasRemoved = mDepartures.WasRemoved(aEntry);
   row.mMissingSince.reset();
+  mEra = std::max(mEra, aEntry.mEra);
+  if (row.IsOpen()) {
+    mDepartures.Forget(aEntry.mId);
+  }
 }
 
 void FleetTable::Remove(const EndpointId& aId, bool aMayReregister, TimePoint aNow)
@@ -60,17 +66,66 @@
     }
     return;
   }
+  mDepartures.Add(DepartureOf(found->second), aNow);
   mRows.erase(found);
 }
 
+EndpointDeparture FleetTable::DepartureOf(const FleetRow& aRow)
+{
+  const auto& entry = aRow.mEntry;
+  return { entry.mId,
+           entry.mIncarnationStart,
+           entry.mDraining || aRow.mNotices.IsLeaving(),
+           entry.mEra,
+           entry.mRevision };
+}
+
+bool FleetTable::OnDeparture(const EndpointDeparture& aDeparture, TimePoint aNow)
+{
+  auto* row = Find(aDeparture.mId);
+  if (row == nullptr) {
+    mDepartures.Add(aDeparture, aNow);
+    return false;
+  }
+  if (row->mEntry.mIncarnationStart > aDeparture.mIncarnationStart) {
+    return false;
+  }
+  mDepartures.Add(aDeparture, aNow);
+  if (row->mEntry.mIncarnationStart != aDeparture.mIncarnationStart) {
+    return false;
+  }
+  const bool wasOpen = row->IsOpen();
+  row->mIsLeavingUnseen =
+    row->mIsLeavingUnseen || (aDeparture.mIsAnnounced && !row->mEntry.mDraining);
+  row->mEntry.mDraining = row->mEntry.mDraining || aDeparture.mIsAnnounced;
+  row->mWasRemoved = mDepartures.WasRemoved(row->mEntry);
+  return wasOpen && !row->IsOpen();
+}
+
+std::vector<EndpointDeparture> FleetTable::Departures(TimePoint aNow) const
+{
+  auto departures = mDepartures.Before(mEra, aNow);
+  for (const auto& [id, row] : mRows) {
+    const bool isUnseen =
+      row.mIsLeavingUnseen || (row.mNotices.IsLeaving() && !row.mEntry.mDraining);
+    const auto isListed = [&id = id](const EndpointDeparture& aOther) { return aOther.mId == id; };
+    if (isUnseen && std::none_of(departures.begin(), departures.end(), isListed)) {
+      departures.push_back(DepartureOf(row));
+    }
+  }
+  return departures;
+}
+
 std::vector<EndpointId> FleetTable::DropExpired(TimePoint aNow)
 {
+  mDepartures.DropExpired(aNow);
   std::vector<EndpointId> dropped;
   for (auto it = mRows.begin(); it != mRows.end();) {
     if (it->second.mMissingSince && aNow - *it->second.mMissingSince >= kReregistrationPeriod) {
       dropped.push_back(it->first);
       it = mRows.erase(it);
     } else {
+      it->second.mWasRemoved = mDepartures.WasRemoved(it->second.mEntry);
       ++it;
     }
   }
--- a/modules/skylarkchute_routing/fleet/FleetTable.h
+++ b/modules/skylarkchute_routing/fleet/FleetTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "EndpointDepartures.h"
 #include "EndpointHealth.h"
 #include "EndpointLimitShares.h"
 #include "FleetEndpoint.h"
@@ -31,6 +32,9 @@
   TimePoint mReportedAt{};
   /** Set while its entry is missing after a store outage. */
   std::optional<TimePoint> mMissingSince;
+  /** It is leaving although its entry in the store does not say so. */
+  bool mIsLeavingUnseen = false;
+  bool mWasRemoved = false; /**< Its entry was removed, and brought back by a copy of the store. */
 
   /** Returns the estimated number of requests on the endpoint: the attempts of this instance plus
       the load of the other instances from the last report, which is discounted with its age. */
@@ -40,7 +44,7 @@
   bool HasFreshReport(TimePoint aNow) const;
 
   /** Returns whether new requests may be sent. */
-  bool IsOpen() const { return !mEntry.mDraining && !mNotices.IsLeaving(); }
+  bool IsOpen() const { return !mEntry.mDraining && !mNotices.IsLeaving() && !mWasRemoved; }
 };
 
 /** All endpoints of the platform's endpoint list.
@@ -56,7 +60,7 @@
 
   /** Adds or replaces an endpoint. A new incarnation or address under a known id starts with fresh
       health and load data; only the number of attempts in progress is kept. A draining endpoint
-      stays so until then. */
+      stays so until then; one that was removed stays closed until it registers anew. */
   void Upsert(const FleetEndpoint& aEntry);
 
   /** Removes an endpoint.
@@ -68,6 +72,13 @@
       @returns the ids of the dropped endpoints */
   std::vector<EndpointId> DropExpired(TimePoint aNow);
 
+  /** Records that an endpoint has left, as another instance says.
+      @returns whether the endpoint got new requests until now */
+  bool OnDeparture(const EndpointDeparture& aDeparture, TimePoint aNow);
+
+  /** Returns the endpoints that have left although the store does not say so, or may not. */
+  std::vector<EndpointDeparture> Departures(TimePoint aNow) const;
+
   /** Returns the row of an endpoint, or null if it is unknown. */
   FleetRow* Find(const EndpointId& aId);
 
@@ -92,7 +103,11 @@
   std::map<EndpointId, FleetRow>& All() { return mRows; }
 
 private:
+  static EndpointDeparture DepartureOf(const FleetRow& aRow);
+
   std::map<EndpointId, FleetRow> mRows;
+  EndpointDepartures mDepartures;
+  std::uint64_t mEra = 0; /**< Latest era of an entry. */
   std::size_t mInstances = 1;
 };
 
--- a/tests/skylarkchute_relay/FleetSyncTests.cpp
+++ b/tests/skylarkchute_relay/FleetSyncTests.cpp
@@ -88,3 +88,52 @@
   CHECK(fixture.HasEndpoint("e1"));
   CHECK(fixture.mMirror.AsOf(ObjectKind::Endpoints) == 10);
 }
+
+namespace {
+
+/** Returns an entry of an endpoint that started at 7, in an era of the store. */
+StoreObject MakeStarted(std::uint64_t aEra,
+                        std::uint64_t aRevision,
+                        const std::string& aStart = "7")
+{
+  const std::string ready = kReady;
+  return MakeEndpoint("e1",
+                      MakeStoreVersion(aEra, aRevision),
+                      ready.substr(0, ready.size() - 1) + R"(,"born":)" + aStart + "}");
+}
+
+bool IsOpen(SyncFixture& aFixture)
+{
+  return !aFixture.mRelay.mRouter.Endpoints().OpenRows(ServiceName("svc")).empty();
+}
+
+} // namespace
+
+TEST_CASE("an entry that a copy of the store brings back does not open an endpoint that has left")
+{
+  SyncFixture fixture;
+  auto& mirror = fixture.mMirror;
+  const auto kind = ObjectKind::Endpoints;
+  mirror.Replace(kind, { MakeStoreVersion(1, 10), { MakeStarted(1, 5) } }, fixture.mNow);
+  CHECK(IsOpen(fixture));
+  StorePage page;
+  page.mAsOf = MakeStoreVersion(1, 13);
+  page.mObjects = { { "e1", MakeStoreVersion(1, 13), true, "" } };
+  mirror.Apply(kind, page, fixture.mNow);
+  mirror.Replace(kind, { MakeStoreVersion(2, 9), { MakeStarted(2, 5) } }, fixture.mNow);
+  CHECK_FALSE(IsOpen(fixture));
+  mirror.Replace(kind, { MakeStoreVersion(3, 8), { MakeStarted(3, 5) } }, fixture.mNow);
+  CHECK_FALSE(IsOpen(fixture));
+  SECTION("it registers again")
+  {
+    mirror.Replace(kind, { MakeStoreVersion(3, 11), { MakeStarted(3, 11) } }, fixture.mNow);
+    CHECK(IsOpen(fixture));
+  }
+  SECTION("it starts again")
+  {
+    mirror.Replace(kind, { MakeStoreVersion(3, 11), { MakeStarted(3, 11, "8") } }, fixture.mNow);
+    CHECK(IsOpen(fixture));
+    mirror.Replace(kind, { MakeStoreVersion(4, 12), { MakeStarted(4, 3, "8") } }, fixture.mNow);
+    CHECK(IsOpen(fixture));
+  }
+}
