--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -73,6 +73,8 @@
       [this](ObjectKind aKind, const StoreObject& aObject) { mSync.OnObject(aKind, aObject); })
   , mMesh(mLoop, *this, mSelf, mSettings.mSeeds, mRandom())
   , mMirrorExchange(mMirror)
+  , mConfigExchange(mSync, mMirror)
+  , mDepartureExchange(mRouter.Endpoints())
   , mFollowing(mSelf, IsContact(mSettings), mRandom(), Now())
   , mStoreProbe(mLoop, mSettings.mStoreAddress, mSelf.mName)
   , mRecorder(mLoop,
@@ -426,6 +428,8 @@
   const auto now = Now();
   aExchange.mConfirmationAge = mFollowing.ConfirmationAge(now);
   mMirrorExchange.Fill(aExchange, aKnown, aMaxBytes);
+  mConfigExchange.Fill(aExchange, aKnown, aMaxBytes);
+  mDepartureExchange.Fill(aExchange, aKnown, aMaxBytes, now);
   aExchange.mEvidence = mRouter.Rollouts().Evidence(now);
   aExchange.mCrashes = mRouter.Suspects().Recent(now);
   aExchange.mPartReport = mRouter.PartSuspects().Recent(now);
@@ -433,7 +437,7 @@
 
 bool RelayRuntime::IsBehind(const KnownKinds& aKinds) const
 {
-  return mMirrorExchange.IsBehind(aKinds);
+  return mMirrorExchange.IsBehind(aKinds) || mConfigExchange.IsBehind(aKinds);
 }
 
 /** Tells other instances of the objects if they have changed since the last time. */
@@ -449,6 +453,12 @@
 {
   const auto now = Now();
   mMirrorExchange.Apply(aExchange, OriginOfList(), now);
+  mConfigExchange.Apply(aExchange);
+  for (const auto& it : mDepartureExchange.Apply(aExchange, now)) {
+    mLog.Write(
+      { &kEndpointLeaving,
+        { { "endpoint", it.Value() }, { "from", aExchange.mMembership.mFrom.mRecord.mName } } });
+  }
   if (aExchange.mConfirmationAge) {
     mFollowing.OnConfirmation(*aExchange.mConfirmationAge, now);
   }
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -2,7 +2,8 @@
 
 #include "../callers/CallerServer.h"
 #include "../callers/ControlServer.h"
-#include "../peers/MirrorExchange.h"
+#include "../peers/ConfigExchange.h"
+#include "../peers/DepartureExchange.h"
 #include "../peers/PeerMesh.h"
 #include "../store/StoreProbe.h"
 #include "../store/StoreWatcher.h"
@@ -90,6 +91,8 @@
   StoreMirror mMirror;
   PeerMesh mMesh;
   MirrorExchange mMirrorExchange;
+  ConfigExchange mConfigExchange;
+  DepartureExchange mDepartureExchange;
   StoreFollowing mFollowing;
   StoreProbe mStoreProbe;
   StoreRecorder mRecorder;
