Stand-in endpoints fall silent, crash by prompt part, name limits and pauses

Cause: an endpoint that is silent for a second in the middle of streams, or that a prompt part ends, could not be played; runs were lost with the process. The events of a stream carry the request id, so that a client can tell a foreign one.

--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -196,6 +196,9 @@
   add("drain-ms",
       options::value(&drainMs)->default_value(drainMs),
       "milliseconds to go on serving while draining");
+  add("record-file",
+      options::value(&endpoint.mRecordFile)->default_value(""),
+      "file to which each run is appended as a JSON line");
   options::variables_map values;
   if (!ParseArguments(aArguments, description, values)) {
     return 0;
--- a/standins/users_platform/UsersEndpointStandIn.cpp
+++ b/standins/users_platform/UsersEndpointStandIn.cpp
@@ -25,6 +25,7 @@
 constexpr const char* kRequestIdHeader = "Skylarkchute-Request-Id";
 constexpr const char* kNotExecutedHeader = "Skylarkchute-Not-Executed";
 constexpr const char* kTokenCountsHeader = "Skylarkchute-Token-Counts";
+constexpr const char* kPromptPrefixHeader = "Skylarkchute-Prompt-Prefix";
 constexpr const char* kServersPath = "/skylarkchute/objects/servers";
 
 /** Returns the output token limit of a `PROMPT,OUTPUT` header value, zero if it has no comma. */
@@ -47,7 +48,15 @@
   mSwitches["slow_ms"] = 0;
   mSwitches["error_status"] = 0;
   mSwitches["crash_word"] = "";
+  mSwitches["crash_part"] = "";
   mSwitches["break_after"] = 0;
+  mSwitches["silent_ms"] = 0;
+  mSwitches["leaving"] = false;
+  mSwitches["limit"] = 0;
+  mSwitches["pause_s"] = 0;
+  if (!mOptions.mRecordFile.empty()) {
+    mRecord.open(mOptions.mRecordFile, std::ios::app);
+  }
   Register("ready");
   mHeartbeatThread = std::thread([this] { SendHeartbeats(); });
 }
@@ -56,7 +65,9 @@
 {
   mIsDraining = true;
   mHeartbeatThread.join();
-  Register("draining");
+  if (Register("draining") == kOk) {
+    RecordDraining();
+  }
   std::this_thread::sleep_for(mOptions.mDrainTime);
   CallStore("DELETE", kServersPath + ("/" + mOptions.mId), {});
 }
@@ -153,31 +164,99 @@
     status = kBadRequest;
   } else if (aRequest.get("Skylarkchute-Expect-Instance", mOptions.mId) != mOptions.mId) {
     status = kMisdirected;
-  } else if (mRunning >= mOptions.mSlots) {
+  } else if (mRunning >= mOptions.mSlots || SwitchValue("pause_s").asInt() > 0) {
     status = kUnavailable;
   }
   if (status == 0) {
     return false;
   }
+  SetNoticeHeaders(aResponse);
   aResponse.set(kRequestIdHeader, id);
   aResponse.set(kNotExecutedHeader, "1");
   Respond(aResponse, status, Json::Value(Json::objectValue));
   return true;
 }
 
-void UsersEndpointStandIn::Run(Request& aRequest, Response& aResponse)
+/** Sets the headers by which the endpoint states that it leaves, its limit and its pause. */
+void UsersEndpointStandIn::SetNoticeHeaders(Response& aResponse) const
 {
-  const auto body = ReadBody(aRequest);
-  const auto id = aRequest.get(kRequestIdHeader, "");
+  if (SwitchValue("leaving").asBool()) {
+    aResponse.set("Server-Leaving", "1");
+  }
+  if (const auto limit = SwitchValue("limit").asInt(); limit > 0) {
+    aResponse.set("Server-Limit", std::to_string(limit));
+  }
+  if (const auto pause = SwitchValue("pause_s").asInt(); pause > 0) {
+    aResponse.set("Retry-After", std::to_string(pause));
+  }
+}
+
+void UsersEndpointStandIn::WaitWhileSilent() const
+{
+  std::chrono::steady_clock::time_point until;
   {
     const std::lock_guard lock(mMutex);
-    ++mRuns[id];
+    until = mSilentUntil;
+  }
+  std::this_thread::sleep_until(until);
+}
+
+/** Records that the store has accepted the state `draining`. */
+void UsersEndpointStandIn::RecordDraining()
+{
+  Json::Value line(Json::objectValue);
+  line["endpoint"] = mOptions.mId;
+  line["draining"] = true;
+  const std::lock_guard lock(mMutex);
+  mDrainAcknowledged = std::chrono::steady_clock::now();
+  if (mRecord.is_open()) {
+    mRecord << WriteJson(line) << std::endl;
   }
-  const auto crashWord = SwitchValue("crash_word").asString();
-  if (!crashWord.empty() && body.find(crashWord) != std::string::npos) {
+}
+
+/** Counts a run and writes it to the record file, which outlives the process. */
+void UsersEndpointStandIn::RecordRun(const Request& aRequest, const std::string& aBody)
+{
+  const auto now = std::chrono::steady_clock::now();
+  Json::Value line(Json::objectValue);
+  line["id"] = aRequest.get(kRequestIdHeader, "");
+  line["at_us"] = Json::Int64(
+    std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count());
+  line["path"] = aRequest.getURI();
+  line["body"] = aBody;
+  line["part"] = aRequest.get(kPromptPrefixHeader, "");
+  line["endpoint"] = mOptions.mId;
+  const std::lock_guard lock(mMutex);
+  ++mRuns[line["id"].asString()];
+  if (mDrainAcknowledged) {
+    line["draining_ms"] =
+      Json::Int64(std::chrono::duration_cast<milliseconds>(now - *mDrainAcknowledged).count());
+  }
+  if (mRecord.is_open()) {
+    mRecord << WriteJson(line) << std::endl;
+  }
+}
+
+/** Ends the process if a word of `crash_word` or `crash_part` is in the request. */
+void UsersEndpointStandIn::CrashIfAsked(const Request& aRequest, const std::string& aBody) const
+{
+  const auto word = SwitchValue("crash_word").asString();
+  const auto part = SwitchValue("crash_part").asString();
+  if ((!word.empty() && aBody.find(word) != std::string::npos) ||
+      (!part.empty() && aRequest.get(kPromptPrefixHeader, "").find(part) != std::string::npos)) {
     std::quick_exit(1);
   }
+}
+
+void UsersEndpointStandIn::Run(Request& aRequest, Response& aResponse)
+{
+  const auto body = ReadBody(aRequest);
+  const auto id = aRequest.get(kRequestIdHeader, "");
+  RecordRun(aRequest, body);
+  CrashIfAsked(aRequest, body);
   std::this_thread::sleep_for(milliseconds(SwitchValue("slow_ms").asInt64()));
+  WaitWhileSilent();
+  SetNoticeHeaders(aResponse);
   aResponse.set(kRequestIdHeader, id);
   aResponse.set("Skylarkchute-Response-Seal", "standin." + mOptions.mId);
   aResponse.set("Skylarkchute-Server-Load", LoadHeaderValue());
@@ -196,6 +275,7 @@
 void UsersEndpointStandIn::RunStream(Request& aRequest, Response& aResponse)
 {
   const auto outputTokenLimit = OutputTokens(aRequest.get(kTokenCountsHeader, ""));
+  const auto id = aRequest.get(kRequestIdHeader, "");
   const auto events = std::min(mOptions.mEvents, std::max<std::uint64_t>(outputTokenLimit, 1));
   const auto breakAfter = SwitchValue("break_after").asUInt64();
   const auto last = std::strtoull(aRequest.get("Last-Event-Id", "0").c_str(), nullptr, 10);
@@ -204,7 +284,8 @@
   aResponse.setChunkedTransferEncoding(true);
   auto& out = aResponse.send();
   for (auto n = last + 1; n <= events; ++n) {
-    out << "id: " << n << "\ndata: word" << n << "\n\n" << std::flush;
+    WaitWhileSilent();
+    out << "id: " << n << "\ndata: " << id << " word" << n << "\n\n" << std::flush;
     if (breakAfter != 0 && n - last >= breakAfter) {
       AbortConnection(aRequest);
       return;
@@ -220,6 +301,10 @@
   const std::lock_guard lock(mMutex);
   if (path == "/standin/switches") {
     ApplySwitches(mSwitches, changes);
+    if (changes.isMember("silent_ms")) {
+      mSilentUntil =
+        std::chrono::steady_clock::now() + milliseconds(mSwitches["silent_ms"].asInt64());
+    }
     Respond(aResponse, kOk, mSwitches);
     return;
   }
--- a/standins/users_platform/UsersEndpointStandIn.h
+++ b/standins/users_platform/UsersEndpointStandIn.h
@@ -3,8 +3,11 @@
 #include "../http/StandInServer.h"
 
 #include <atomic>
+#include <chrono>
+#include <fstream>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace skylarkchute::standins {
@@ -28,6 +31,7 @@
     std::uint64_t mEvents = 8;                    /**< Per stream, or the token limit if lower. */
     std::chrono::milliseconds mEventTime{ 10 };   /**< Interval between events. */
     std::chrono::milliseconds mDrainTime{ 1500 }; /**< Time to serve in state `draining`. */
+    std::string mRecordFile; /**< Receives one JSON line per run; empty writes none. */
   };
 
   explicit UsersEndpointStandIn(Options aOptions);
@@ -49,6 +53,11 @@
   void HandleControl(Request& aRequest, Response& aResponse);
   void Run(Request& aRequest, Response& aResponse);
   void RunStream(Request& aRequest, Response& aResponse);
+  void RecordDraining();
+  void RecordRun(const Request& aRequest, const std::string& aBody);
+  void CrashIfAsked(const Request& aRequest, const std::string& aBody) const;
+  void SetNoticeHeaders(Response& aResponse) const;
+  void WaitWhileSilent() const;
   bool RefuseIfNotRunnable(const Request& aRequest, Response& aResponse);
   std::string LoadHeaderValue() const;
   Json::Value SwitchValue(const char* aName) const;
@@ -63,6 +72,9 @@
   std::map<std::string, std::uint32_t> mRuns; /**< Runs by the caller's request id. */
   std::atomic<std::uint32_t> mRunning{ 0 };
   std::atomic<bool> mIsDraining{ false };
+  std::chrono::steady_clock::time_point mSilentUntil;
+  std::optional<std::chrono::steady_clock::time_point> mDrainAcknowledged;
+  std::ofstream mRecord;
   std::uint64_t mSeq = 0; /**< Heartbeat sequence number. */
   StandInServer mServer;
   std::thread mHeartbeatThread;
--- a/standins/users_platform/UsersStoreStandIn.cpp
+++ b/standins/users_platform/UsersStoreStandIn.cpp
@@ -4,6 +4,7 @@
 #include <Poco/URI.h>
 
 #include <algorithm>
+#include <thread>
 
 namespace skylarkchute::standins {
 
@@ -47,6 +48,7 @@
 {
   mSwitches["busy"] = false;
   mSwitches["silent"] = false;
+  mSwitches["slow_ms"] = 0;
 }
 
 UsersStoreStandIn::~UsersStoreStandIn()
@@ -66,15 +68,18 @@
     return;
   }
   std::uint64_t silences = 0;
+  std::int64_t slowMs = 0;
   {
     const std::lock_guard lock(mMutex);
     ++mCalls;
     silences = mSilences;
+    slowMs = mSwitches["slow_ms"].asInt64();
     if (mSwitches["busy"].asBool()) {
       Respond(aResponse, kUnavailable, Json::Value(Json::objectValue));
       return;
     }
   }
+  std::this_thread::sleep_for(milliseconds(slowMs));
   RemoveExpiredEndpoints();
   const auto outcome = DispatchRequest(aRequest);
   if (WithholdIfSilent(silences)) {
