--- /dev/null
+++ b/soak/Fleet.cpp
@@ -0,0 +1,682 @@
+#include "Fleet.h"
+
+#include "HttpConnection.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <json/json.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+#include <unistd.h>
+
+namespace skylarkchute::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kCallTimeout{ 1000 };
+constexpr milliseconds kReadinessTimeout{ 100 };
+constexpr milliseconds kStartTimeout{ 20000 };
+constexpr milliseconds kSampleInterval{ 500 };
+constexpr milliseconds kEndpointRestart{ 1500 };
+constexpr milliseconds kStopTimeout{ 12000 };
+constexpr int kMaxMisses = 2;
+constexpr int kFirstVersion = 10;
+constexpr int kSilenceMs = 1500;
+constexpr int kSlowMs = 400;
+constexpr const char* kDrainMs = "4000";
+
+std::uint16_t FreePort()
+{
+  const Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", 0));
+  return probe.address().port();
+}
+
+std::string Local(std::uint16_t aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+Json::Value Route(const std::string& aName, const std::string& aService, const std::string& aKind)
+{
+  Json::Value route(Json::objectValue);
+  route["Name"] = aName;
+  route["Host"] = "soak.example";
+  route["PathPrefix"] = "/" + aName + "/";
+  route["Service"] = aService;
+  route["Kind"] = aKind;
+  const bool isStream = aKind == "streaming";
+  route["TimeoutMs"] = isStream ? 10000 : 5000;
+  route["TargetLatencyMs"] = isStream ? 1000 : 500;
+  route["Priority"] = aKind == "non_idempotent" ? 0 : 1;
+  route["MaxAttempts"] = aKind == "non_idempotent" ? 1 : 3;
+  if (isStream) {
+    route["StreamResume"] = true;
+    route["GapAimMs"] = 500;
+  }
+  return route;
+}
+
+/** Returns a configuration; beside the lasting routes it has one that is named by its version. */
+Json::Value ConfigurationSpec(int aVersion)
+{
+  Json::Value spec(Json::objectValue);
+  spec["Version"] = aVersion;
+  spec["Routes"].append(Route("notes", "note-llm", "streaming"));
+  spec["Routes"].append(Route("orders", "orders", "non_idempotent"));
+  spec["Routes"].append(Route("boxes", "orders", "idempotent"));
+  spec["Routes"].append(Route("v" + std::to_string(aVersion), "orders", "idempotent"));
+  for (const auto* it : { "note-llm", "orders" }) {
+    Json::Value service(Json::objectValue);
+    service["Name"] = it;
+    service["HealthPath"] = "/healthz";
+    service["MaxConnections"] = 100;
+    spec["Services"].append(service);
+  }
+  spec["Limits"]["MaxHeaderBytes"] = 16384;
+  spec["Limits"]["MaxBodyBytes"] = 1048576;
+  spec["Limits"]["HeaderTimeoutMs"] = 5000;
+  spec["Limits"]["IdleTimeoutMs"] = 20000;
+  spec["Tenants"][0]["Name"] = "dispatch";
+  spec["Tenants"][0]["ApiKeys"].append("soak-key");
+  return spec;
+}
+
+std::string ToText(const Json::Value& aValue)
+{
+  Json::StreamWriterBuilder writer;
+  writer["indentation"] = "";
+  return Json::writeString(writer, aValue);
+}
+
+Json::Value ParseRecord(const std::string& aLine)
+{
+  Json::Value value;
+  const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+  const bool isParsed = reader->parse(aLine.data(), aLine.data() + aLine.size(), &value, nullptr);
+  return isParsed ? value : Json::Value();
+}
+
+std::uint64_t ResidentBytes(pid_t aId)
+{
+  std::ifstream in("/proc/" + std::to_string(aId) + "/statm");
+  std::uint64_t size = 0;
+  std::uint64_t resident = 0;
+  in >> size >> resident;
+  return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+std::uint64_t Descriptors(pid_t aId)
+{
+  std::error_code error;
+  const std::filesystem::directory_iterator files("/proc/" + std::to_string(aId) + "/fd", error);
+  return error ? 0 : static_cast<std::uint64_t>(std::distance(begin(files), end(files)));
+}
+
+TimePoint FromMicroseconds(std::int64_t aMicroseconds)
+{
+  return TimePoint(std::chrono::microseconds(aMicroseconds));
+}
+
+bool IsRelayFault(FaultKind aKind)
+{
+  return aKind == FaultKind::RelayPaused || aKind == FaultKind::RelayKilled ||
+         aKind == FaultKind::RelayStopped || aKind == FaultKind::RelayReloaded;
+}
+
+bool IsStoreFault(FaultKind aKind)
+{
+  return aKind == FaultKind::StoreSilent || aKind == FaultKind::StoreBusy ||
+         aKind == FaultKind::StoreSlow || aKind == FaultKind::StoreForgetting ||
+         aKind == FaultKind::StoreRestored;
+}
+
+/** Returns whether clients are owed an answer although the endpoint does this. */
+bool IsHarmless(FaultKind aKind)
+{
+  return aKind == FaultKind::EndpointSilent || aKind == FaultKind::EndpointLeaving ||
+         aKind == FaultKind::EndpointLimited || aKind == FaultKind::EndpointPausing ||
+         aKind == FaultKind::EndpointDeparting;
+}
+
+/** Returns the switches of the endpoint stand-in for a fault; with its end those that undo it. */
+std::string EndpointSwitches(FaultKind aKind, bool aIsBegin)
+{
+  Json::Value switches(Json::objectValue);
+  switch (aKind) {
+    case FaultKind::EndpointSilent:
+      switches["silent_ms"] = aIsBegin ? kSilenceMs : 0;
+      break;
+    case FaultKind::EndpointSlow:
+      switches["slow_ms"] = aIsBegin ? kSlowMs : 0;
+      break;
+    case FaultKind::EndpointFailing:
+      switches["error_status"] = aIsBegin ? 500 : 0;
+      break;
+    case FaultKind::EndpointBreaking:
+      switches["break_after"] = aIsBegin ? 2 : 0;
+      break;
+    case FaultKind::EndpointLimited:
+      switches["limit"] = aIsBegin ? 5 : 0;
+      break;
+    case FaultKind::EndpointPausing:
+      switches["pause_s"] = aIsBegin ? 1 : 0;
+      break;
+    case FaultKind::EndpointDeparting:
+      switches["leaving"] = aIsBegin;
+      break;
+    default:
+      break;
+  }
+  return ToText(switches);
+}
+
+} // namespace
+
+Fleet::Fleet(std::string aBuild, std::string aWork, std::uint32_t aRelays)
+  : mBuild(std::move(aBuild))
+  , mWork(std::move(aWork))
+{
+  StartStore();
+  for (const auto* service : { "note-llm", "orders" }) {
+    for (int n = 1; n <= 3; ++n) {
+      mEndpoints.push_back({ std::string(service) + "-" + std::to_string(n), service });
+    }
+  }
+  for (auto& it : mEndpoints) {
+    StartEndpoint(it);
+  }
+  Configure();
+  for (std::uint32_t n = 1; n <= aRelays; ++n) {
+    mRelays.push_back({ "relay-" + std::to_string(n), FreePort(), FreePort(), FreePort() });
+  }
+  mSeeds = Local(mRelays.front().mPeerPort);
+  for (auto& it : mRelays) {
+    StartRelay(it);
+  }
+  AwaitReadiness();
+}
+
+void Fleet::StartStore()
+{
+  const auto log = mWork + "/store.log";
+  mStore = std::make_unique<ChildProcess>(
+    std::vector<std::string>{ mBuild + "/standins/skylarkchute-standins", "users-store" }, log);
+  mStorePort = AwaitPort(*mStore, log);
+}
+
+/** Starts an endpoint. Every second start has a new name and port, the others keep both. */
+void Fleet::StartEndpoint(Endpoint& aEndpoint)
+{
+  const auto identity = aEndpoint.mGeneration / 2;
+  const bool keepsPort = aEndpoint.mGeneration % 2 == 1;
+  const auto id = aEndpoint.mName + "-" + std::to_string(identity);
+  const auto log =
+    mWork + "/" + aEndpoint.mName + "-" + std::to_string(aEndpoint.mGeneration) + ".endpoint-log";
+  const auto port = keepsPort ? aEndpoint.mPort : FreePort();
+  aEndpoint.mProcess = std::make_unique<ChildProcess>(
+    std::vector<std::string>{ mBuild + "/standins/skylarkchute-standins",
+                              "users-endpoint",
+                              "--port",
+                              std::to_string(port),
+                              "--store",
+                              std::to_string(mStorePort),
+                              "--id",
+                              id,
+                              "--service",
+                              aEndpoint.mService,
+                              "--zone",
+                              "zone-a",
+                              "--event-ms",
+                              "30",
+                              "--drain-ms",
+                              kDrainMs,
+                              "--record-file",
+                              mWork + "/" + aEndpoint.mName + ".runs" },
+    log);
+  aEndpoint.mPort = port;
+  ++aEndpoint.mGeneration;
+  aEndpoint.mIsLeaving = false;
+  aEndpoint.mRestartAt.reset();
+}
+
+void Fleet::StartRelay(Relay& aRelay)
+{
+  const auto settings = mWork + "/" + aRelay.mName + ".ini";
+  std::ofstream out(settings);
+  out << "[instance]\nname = " << aRelay.mName
+      << "\nzone = zone-a\n[listen]\ncallers = " << Local(aRelay.mCallerPort)
+      << "\nready = " << Local(aRelay.mReadyPort) << "\npeers = " << Local(aRelay.mPeerPort)
+      << "\n[platform]\nstore = " << Local(mStorePort) << "\nseeds = " << mSeeds
+      << "\n[retries]\nratio = 0.9\nslack = 58\nwindow = 10s\n[rollouts]\nexposed_share = 0.15\n"
+         "exposed_slack = 30\n[shutdown]\ngrace = 8s\n[log]\nlevel = info\n";
+  out.close();
+  const auto log = mWork + "/" + aRelay.mName + ".log";
+  aRelay.mProcess = std::make_unique<ChildProcess>(
+    std::vector<std::string>{ mBuild + "/app/skylarkchute", "relay", "--settings", settings }, log);
+  aRelay.mRestartAt.reset();
+  aRelay.mLife = mEvidence.mLives.size();
+  Life life;
+  life.mRelay = aRelay.mName;
+  life.mBegin = Clock::now();
+  mEvidence.mLives.push_back(life);
+}
+
+/** Waits until a stand-in has printed its port. */
+std::uint16_t Fleet::AwaitPort(ChildProcess& aProcess, const std::string& aLogFile) const
+{
+  const std::string marker = "listening 127.0.0.1:";
+  const auto end = Clock::now() + kStartTimeout;
+  while (Clock::now() < end && !aProcess.WaitStatus()) {
+    std::ifstream in(aLogFile);
+    for (std::string line; std::getline(in, line);) {
+      if (line.starts_with(marker) && !in.eof()) {
+        return static_cast<std::uint16_t>(std::stoul(line.substr(marker.size())));
+      }
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  throw std::runtime_error("a stand-in does not start, see " + aLogFile);
+}
+
+void Fleet::AwaitReadiness()
+{
+  const auto end = Clock::now() + kStartTimeout;
+  while (Clock::now() < end) {
+    SampleReadiness();
+    if (std::all_of(mRelays.begin(), mRelays.end(), [](const Relay& aRelay) {
+          return aRelay.mProcess && aRelay.mMisses == 0;
+        })) {
+      return;
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  throw std::runtime_error("the relays do not become ready");
+}
+
+bool Fleet::SetSwitch(std::uint16_t aPort, const std::string& aSwitches) const
+{
+  return CallOnce(aPort, "PUT", "/standin/switches", aSwitches, kCallTimeout).mStatus == 200;
+}
+
+/** Writes the next configuration, as the operator. It counts as acknowledged if the store answers.
+ */
+void Fleet::Configure()
+{
+  const int version = mVersion == 0 ? kFirstVersion : mVersion + 1;
+  Json::Value body(Json::objectValue);
+  body["Metadata"]["Name"] = "main";
+  body["Spec"] = ConfigurationSpec(version);
+  Configuration configuration;
+  configuration.mVersion = version;
+  configuration.mSent = Clock::now();
+  auto status =
+    CallOnce(mStorePort, "PUT", "/skylarkchute/objects/config/main", ToText(body), kCallTimeout)
+      .mStatus;
+  if (status == 404) {
+    status =
+      CallOnce(mStorePort, "POST", "/skylarkchute/objects/config", ToText(body), kCallTimeout)
+        .mStatus;
+  }
+  mVersion = version;
+  const bool isAcknowledged = status == 200 || status == 201;
+  configuration.mAcknowledged = isAcknowledged ? Clock::now() : TimePoint::max() - kStartTimeout;
+  mEvidence.mConfigurations.push_back(configuration);
+}
+
+void Fleet::Disturb(Subject aSubject, const std::string& aName, TimePoint aBegin)
+{
+  mOpenDisturbances[{ aSubject, aName }].push_back(aBegin);
+}
+
+void Fleet::Calm(Subject aSubject, const std::string& aName)
+{
+  auto& open = mOpenDisturbances[{ aSubject, aName }];
+  if (!open.empty()) {
+    mEvidence.mDisturbances.push_back({ aSubject, aName, open.back(), Clock::now() });
+    open.pop_back();
+  }
+}
+
+bool Fleet::Begin(const Fault& aFault)
+{
+  if (IsRelayFault(aFault.mKind)) {
+    return BeginRelayFault(aFault);
+  }
+  if (IsStoreFault(aFault.mKind)) {
+    BeginStoreFault(aFault);
+    return true;
+  }
+  if (aFault.mKind == FaultKind::Configured) {
+    Configure();
+    return true;
+  }
+  if (aFault.mKind == FaultKind::PartCrashing) {
+    BeginCrashes();
+    return true;
+  }
+  return BeginEndpointFault(aFault);
+}
+
+bool Fleet::BeginRelayFault(const Fault& aFault)
+{
+  auto& relay = mRelays[aFault.mTarget % mRelays.size()];
+  if (!relay.mProcess || relay.mProcess->WaitStatus()) {
+    return false;
+  }
+  auto& life = mEvidence.mLives[relay.mLife];
+  switch (aFault.mKind) {
+    case FaultKind::RelayPaused:
+      Disturb(Subject::Relay, relay.mName, Clock::now());
+      relay.mProcess->Signal(SIGSTOP);
+      break;
+    case FaultKind::RelayKilled:
+      Disturb(Subject::Relay, relay.mName, Clock::now());
+      life.mKilled = Clock::now();
+      relay.mProcess->Signal(SIGKILL);
+      break;
+    case FaultKind::RelayStopped:
+      if (life.mStopped) {
+        return false;
+      }
+      life.mStopped = Clock::now();
+      relay.mProcess->Signal(SIGTERM);
+      break;
+    default:
+      mEvidence.mReloads.push_back(Clock::now());
+      relay.mProcess->Signal(SIGHUP);
+      break;
+  }
+  return true;
+}
+
+bool Fleet::BeginEndpointFault(const Fault& aFault)
+{
+  auto& endpoint = mEndpoints[aFault.mTarget % mEndpoints.size()];
+  if (!endpoint.mProcess || endpoint.mProcess->WaitStatus() || endpoint.mIsLeaving) {
+    return false;
+  }
+  if (aFault.mKind == FaultKind::EndpointLeaving) {
+    endpoint.mIsLeaving = true;
+    endpoint.mProcess->Signal(SIGTERM);
+    return true;
+  }
+  if (!IsHarmless(aFault.mKind)) {
+    Disturb(Subject::Endpoint, endpoint.mName, Clock::now());
+  }
+  if (aFault.mKind == FaultKind::EndpointKilled) {
+    endpoint.mProcess->Signal(SIGKILL);
+    return true;
+  }
+  SetEndpointSwitches(endpoint, aFault.mKind, true);
+  return true;
+}
+
+/** Begins or ends a fault at an endpoint; pauses and limits at all endpoints of its service, as a
+    refusal needs them all. */
+void Fleet::SetEndpointSwitches(const Endpoint& aEndpoint, FaultKind aKind, bool aIsBegin)
+{
+  const bool isForService =
+    aKind == FaultKind::EndpointPausing || aKind == FaultKind::EndpointLimited;
+  for (const auto& it : mEndpoints) {
+    if (&it == &aEndpoint || (isForService && it.mService == aEndpoint.mService)) {
+      SetSwitch(it.mPort, EndpointSwitches(aKind, aIsBegin));
+    }
+  }
+}
+
+void Fleet::BeginStoreFault(const Fault& aFault)
+{
+  Disturb(Subject::Store, "store", Clock::now());
+  switch (aFault.mKind) {
+    case FaultKind::StoreSilent:
+      SetSwitch(mStorePort, R"({"silent":true})");
+      break;
+    case FaultKind::StoreBusy:
+      SetSwitch(mStorePort, R"({"busy":true})");
+      break;
+    case FaultKind::StoreSlow:
+      SetSwitch(mStorePort, R"({"slow_ms":300})");
+      break;
+    case FaultKind::StoreForgetting:
+      CallOnce(mStorePort, "DELETE", "/standin/history", "", kCallTimeout);
+      break;
+    default:
+      CallOnce(mStorePort, "POST", "/standin/copy", "", kCallTimeout);
+      break;
+  }
+}
+
+void Fleet::BeginCrashes()
+{
+  const auto part = "c0ffee" + std::to_string(++mCrashes);
+  Disturb(Subject::Endpoint, "crashes", Clock::now());
+  for (const auto& it : mEndpoints) {
+    SetSwitch(it.mPort, R"({"crash_part":")" + part + R"("})");
+  }
+  const std::lock_guard lock(mMutex);
+  mCrashingPart = part;
+}
+
+void Fleet::End(const Fault& aFault)
+{
+  auto& relay = mRelays[aFault.mTarget % mRelays.size()];
+  auto& endpoint = mEndpoints[aFault.mTarget % mEndpoints.size()];
+  switch (aFault.mKind) {
+    case FaultKind::RelayPaused:
+      relay.mProcess->Signal(SIGCONT);
+      Calm(Subject::Relay, relay.mName);
+      break;
+    case FaultKind::StoreSilent:
+      SetSwitch(mStorePort, R"({"silent":false})");
+      Calm(Subject::Store, "store");
+      break;
+    case FaultKind::StoreBusy:
+      SetSwitch(mStorePort, R"({"busy":false})");
+      Calm(Subject::Store, "store");
+      break;
+    case FaultKind::StoreSlow:
+      SetSwitch(mStorePort, R"({"slow_ms":0})");
+      Calm(Subject::Store, "store");
+      break;
+    case FaultKind::StoreForgetting:
+      Calm(Subject::Store, "store");
+      break;
+    case FaultKind::StoreRestored:
+      CallOnce(mStorePort, "POST", "/standin/restore", "", kCallTimeout);
+      Configure();
+      Calm(Subject::Store, "store");
+      break;
+    case FaultKind::PartCrashing: {
+      for (const auto& it : mEndpoints) {
+        SetSwitch(it.mPort, R"({"crash_part":""})");
+      }
+      Calm(Subject::Endpoint, "crashes");
+      const std::lock_guard lock(mMutex);
+      mCrashingPart.clear();
+      break;
+    }
+    case FaultKind::EndpointSilent:
+    case FaultKind::EndpointLimited:
+    case FaultKind::EndpointPausing:
+    case FaultKind::EndpointDeparting:
+      SetEndpointSwitches(endpoint, aFault.mKind, false);
+      break;
+    case FaultKind::EndpointSlow:
+    case FaultKind::EndpointFailing:
+    case FaultKind::EndpointBreaking:
+      SetEndpointSwitches(endpoint, aFault.mKind, false);
+      Calm(Subject::Endpoint, endpoint.mName);
+      break;
+    default:
+      break; // Ended processes are started again by Tick().
+  }
+}
+
+void Fleet::Tick()
+{
+  SuperviseRelays();
+  SuperviseEndpoints();
+  if (Clock::now() >= mNextSample) {
+    mNextSample = Clock::now() + kSampleInterval;
+    SampleReadiness();
+    SampleResources(false);
+  }
+}
+
+void Fleet::SuperviseRelays()
+{
+  const auto now = Clock::now();
+  for (auto& it : mRelays) {
+    auto& life = mEvidence.mLives[it.mLife];
+    const auto status = it.mProcess->WaitStatus();
+    if (!status) {
+      if (life.mStopped && !life.mKilled && now > *life.mStopped + kStopTimeout) {
+        life.mKilled = now;
+        it.mProcess->Signal(SIGKILL);
+      }
+      continue;
+    }
+    if (!life.mEnd) {
+      life.mEnd = now;
+      life.mWaitStatus = *status;
+      it.mRestartAt = now + milliseconds(500);
+    } else if (it.mRestartAt && now >= *it.mRestartAt) {
+      StartRelay(it);
+      Calm(Subject::Relay, it.mName);
+    }
+  }
+}
+
+void Fleet::SuperviseEndpoints()
+{
+  const auto now = Clock::now();
+  for (auto& it : mEndpoints) {
+    if (!it.mProcess->WaitStatus()) {
+      continue;
+    }
+    if (!it.mRestartAt) {
+      it.mRestartAt = now + kEndpointRestart;
+    } else if (now >= *it.mRestartAt) {
+      StartEndpoint(it);
+      Calm(Subject::Endpoint, it.mName);
+      const auto part = CrashingPart();
+      if (!part.empty()) {
+        std::this_thread::sleep_for(milliseconds(50));
+        SetSwitch(it.mPort, R"({"crash_part":")" + part + R"("})");
+      }
+    }
+  }
+}
+
+void Fleet::SampleReadiness()
+{
+  std::vector<RelayPort> ready;
+  for (auto& it : mRelays) {
+    ReadinessAnswer answer;
+    answer.mRelay = it.mName;
+    answer.mAsked = Clock::now();
+    answer.mIsReady =
+      CallOnce(it.mReadyPort, "GET", "/skylarkchute/readyz", "", kReadinessTimeout).mStatus == 200;
+    it.mMisses = answer.mIsReady ? 0 : it.mMisses + 1;
+    if (it.mMisses < kMaxMisses) {
+      ready.push_back({ it.mName, it.mCallerPort });
+    }
+    mEvidence.mReadiness.push_back(answer);
+  }
+  if (ready.empty()) {
+    for (const auto& it : mRelays) {
+      ready.push_back({ it.mName, it.mCallerPort });
+    }
+  }
+  const std::lock_guard lock(mMutex);
+  mReady = std::move(ready);
+}
+
+void Fleet::SampleResources(bool aIsFinal)
+{
+  for (auto& it : mRelays) {
+    if (it.mProcess->WaitStatus()) {
+      continue;
+    }
+    ResourceSample sample;
+    sample.mRelay = it.mName;
+    sample.mAt = Clock::now();
+    sample.mResidentBytes = ResidentBytes(it.mProcess->Id());
+    sample.mDescriptors = Descriptors(it.mProcess->Id());
+    sample.mIsFinal = aIsFinal;
+    mEvidence.mResources.push_back(sample);
+  }
+}
+
+void Fleet::SampleIdleRelays()
+{
+  SampleResources(true);
+}
+
+std::vector<Fleet::RelayPort> Fleet::ReadyRelays() const
+{
+  const std::lock_guard lock(mMutex);
+  return mReady;
+}
+
+std::string Fleet::CrashingPart() const
+{
+  const std::lock_guard lock(mMutex);
+  return mCrashingPart;
+}
+
+/** Reads what the endpoints recorded. */
+void Fleet::ReadRecords()
+{
+  for (const auto& endpoint : mEndpoints) {
+    std::ifstream in(mWork + "/" + endpoint.mName + ".runs");
+    for (std::string line; std::getline(in, line);) {
+      const auto record = ParseRecord(line);
+      if (!record.isObject()) {
+        continue; // Cut off by a SIGKILL.
+      }
+      if (record["draining"].asBool()) {
+        mEvidence.mDrainedEndpoints.push_back(record["endpoint"].asString());
+        continue;
+      }
+      Run run;
+      run.mId = record["id"].asString();
+      run.mEndpoint = record["endpoint"].asString();
+      run.mPath = record["path"].asString();
+      run.mBody = record["body"].asString();
+      run.mParts = record["part"].asString();
+      run.mAt = FromMicroseconds(record["at_us"].asInt64());
+      if (record.isMember("draining_ms")) {
+        run.mDraining = milliseconds(record["draining_ms"].asInt64());
+      }
+      mEvidence.mRuns.push_back(run);
+    }
+  }
+}
+
+void Fleet::Finish(Evidence& aOut)
+{
+  const auto now = Clock::now();
+  for (const auto& [key, begins] : mOpenDisturbances) {
+    for (const auto begin : begins) {
+      mEvidence.mDisturbances.push_back({ key.first, key.second, begin, now });
+    }
+  }
+  for (auto& it : mRelays) {
+    it.mProcess.reset();
+  }
+  for (auto& it : mEndpoints) {
+    it.mProcess.reset();
+  }
+  mStore.reset();
+  ReadRecords();
+  aOut = std::move(mEvidence);
+}
+
+} // namespace skylarkchute::soak
--- /dev/null
+++ b/soak/Schedule.cpp
@@ -0,0 +1,130 @@
+#include "Schedule.h"
+
+#include <algorithm>
+#include <map>
+#include <ostream>
+#include <random>
+
+namespace skylarkchute::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLeadIn{ 3000 };
+constexpr milliseconds kStorm{ 10000 };
+constexpr milliseconds kPlannedWork{ 6000 };
+constexpr milliseconds kCrashes{ 9000 };
+
+/** Time without a fault before planned work, so that all counts as calm again. */
+constexpr milliseconds kPause{ 5000 };
+
+/** Time without a fault at the end, to see the recovery. */
+constexpr milliseconds kRecovery{ 15000 };
+
+const std::vector<FaultKind> kUnplanned{
+  FaultKind::RelayPaused,       FaultKind::RelayKilled,      FaultKind::RelayStopped,
+  FaultKind::RelayReloaded,     FaultKind::EndpointSilent,   FaultKind::EndpointSlow,
+  FaultKind::EndpointFailing,   FaultKind::EndpointBreaking, FaultKind::EndpointKilled,
+  FaultKind::EndpointLeaving,   FaultKind::EndpointLimited,  FaultKind::EndpointPausing,
+  FaultKind::EndpointDeparting, FaultKind::StoreSilent,      FaultKind::StoreBusy,
+  FaultKind::StoreSlow,         FaultKind::StoreForgetting,  FaultKind::StoreRestored,
+  FaultKind::Configured,
+};
+
+const std::vector<FaultKind> kPlanned{
+  FaultKind::RelayStopped,    FaultKind::RelayStopped,   FaultKind::RelayReloaded,
+  FaultKind::EndpointLeaving, FaultKind::EndpointSilent, FaultKind::Configured,
+};
+
+class ScheduleBuilder
+{
+public:
+  ScheduleBuilder(std::uint64_t aSeed, std::uint32_t aRelays) : mRandom(aSeed), mRelays(aRelays) {}
+
+  void AddSeries(const std::vector<FaultKind>& aKinds, milliseconds aBegin, milliseconds aEnd)
+  {
+    for (auto at = aBegin + Between(100, 900); at < aEnd; at += Between(250, 1100)) {
+      const auto kind = aKinds[mRandom() % aKinds.size()];
+      const auto duration = std::min(Between(300, 3500), aEnd - at);
+      const auto targets = std::max<std::uint32_t>(mRelays, 6);
+      mFaults.push_back({ at, duration, kind, static_cast<std::uint32_t>(mRandom() % targets) });
+    }
+  }
+
+  void AddCrashes(milliseconds aAt)
+  {
+    mFaults.push_back({ aAt, kCrashes, FaultKind::PartCrashing, 0 });
+  }
+
+  std::vector<Fault> Finish() { return std::move(mFaults); }
+
+private:
+  milliseconds Between(int aLeast, int aMost)
+  {
+    return milliseconds(aLeast + static_cast<int>(mRandom() % (aMost - aLeast)));
+  }
+
+  std::mt19937_64 mRandom;
+  std::uint32_t mRelays;
+  std::vector<Fault> mFaults;
+};
+
+} // namespace
+
+std::string FaultName(FaultKind aKind)
+{
+  static const std::map<FaultKind, std::string> names{
+    { FaultKind::RelayPaused, "relay-paused" },
+    { FaultKind::RelayKilled, "relay-killed" },
+    { FaultKind::RelayStopped, "relay-stopped" },
+    { FaultKind::RelayReloaded, "relay-reloaded" },
+    { FaultKind::EndpointSilent, "endpoint-silent" },
+    { FaultKind::EndpointSlow, "endpoint-slow" },
+    { FaultKind::EndpointFailing, "endpoint-failing" },
+    { FaultKind::EndpointBreaking, "endpoint-breaking" },
+    { FaultKind::EndpointKilled, "endpoint-killed" },
+    { FaultKind::EndpointLeaving, "endpoint-leaving" },
+    { FaultKind::EndpointDeparting, "endpoint-departing" },
+    { FaultKind::EndpointLimited, "endpoint-limited" },
+    { FaultKind::EndpointPausing, "endpoint-pausing" },
+    { FaultKind::PartCrashing, "part-crashing" },
+    { FaultKind::StoreSilent, "store-silent" },
+    { FaultKind::StoreBusy, "store-busy" },
+    { FaultKind::StoreSlow, "store-slow" },
+    { FaultKind::StoreForgetting, "store-forgetting" },
+    { FaultKind::StoreRestored, "store-restored" },
+    { FaultKind::Configured, "configured" },
+  };
+  return names.at(aKind);
+}
+
+std::vector<Fault> MakeSchedule(std::uint64_t aSeed,
+                                std::chrono::seconds aLength,
+                                std::uint32_t aRelays)
+{
+  ScheduleBuilder builder(aSeed, aRelays);
+  const milliseconds end = milliseconds(aLength) - kRecovery;
+  auto at = kLeadIn;
+  while (at < end) {
+    builder.AddSeries(kUnplanned, at, std::min(at + kStorm, end));
+    at += kStorm + kPause;
+    builder.AddSeries(kPlanned, at, std::min(at + kPlannedWork, end));
+    at += kPlannedWork;
+    if (at + kCrashes <= end) {
+      builder.AddCrashes(at);
+    }
+    at += kCrashes + kPause;
+  }
+  return builder.Finish();
+}
+
+void PrintSchedule(std::ostream& aOut, const std::vector<Fault>& aSchedule)
+{
+  for (const auto& it : aSchedule) {
+    aOut << "  " << it.mAt.count() << " ms " << FaultName(it.mKind) << " target " << it.mTarget
+         << " for " << it.mDuration.count() << " ms\n";
+  }
+}
+
+} // namespace skylarkchute::soak
--- /dev/null
+++ b/soak/Schedule.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace skylarkchute::soak {
+
+enum class FaultKind
+{
+  RelayPaused,    /**< SIGSTOP, then SIGCONT. */
+  RelayKilled,    /**< SIGKILL, then a start. */
+  RelayStopped,   /**< SIGTERM, then a start. */
+  RelayReloaded,  /**< SIGHUP. */
+  EndpointSilent, /**< Sends nothing for a while, then goes on. */
+  EndpointSlow,
+  EndpointFailing,  /**< Answers 500. */
+  EndpointBreaking, /**< Closes each stream after two events. */
+  EndpointKilled,
+  EndpointLeaving,   /**< SIGTERM: states `draining`, then leaves. */
+  EndpointDeparting, /**< States in its answers that it leaves. */
+  EndpointLimited,   /**< Names a limit. */
+  EndpointPausing,   /**< Refuses and names a pause. */
+  PartCrashing,      /**< A prompt part ends each endpoint that runs it. */
+  StoreSilent,
+  StoreBusy,
+  StoreSlow,
+  StoreForgetting, /**< Loses its history. */
+  StoreRestored,   /**< Copied at the start of the fault, restored at its end. */
+  Configured,      /**< The operator writes a new configuration. */
+};
+
+struct Fault
+{
+  std::chrono::milliseconds mAt{ 0 };
+  std::chrono::milliseconds mDuration{ 0 }; /**< Zero for a single event. */
+  FaultKind mKind = FaultKind::RelayPaused;
+  std::uint32_t mTarget = 0; /**< Relay or endpoint, modulo their number. */
+};
+
+std::string FaultName(FaultKind aKind);
+
+/** Returns faults in order of their start. Storms of overlapping faults alternate with spans of
+    planned work only; the last seconds have no fault.
+    @param aLength  length of the whole soak */
+std::vector<Fault> MakeSchedule(std::uint64_t aSeed,
+                                std::chrono::seconds aLength,
+                                std::uint32_t aRelays);
+
+void PrintSchedule(std::ostream& aOut, const std::vector<Fault>& aSchedule);
+
+} // namespace skylarkchute::soak
