--- a/soak/Evidence.h
+++ b/soak/Evidence.h
@@ -48,6 +48,7 @@
 {
   std::string mId;
   std::string mEndpoint;
+  std::string mVersion; /**< Of the endpoint's software. */
   std::string mPath;
   std::string mBody;
   std::string mParts; /**< Value of `Skylarkchute-Prompt-Prefix`. */
@@ -79,6 +80,17 @@
   TimePoint mAcknowledged;
 };
 
+/** One roll-out that the operator ordered, and what the relays made of it. */
+struct Rollout
+{
+  std::string mService;
+  std::string mVersion;
+  bool mIsBad = false; /**< Every answer of the version is a failure. */
+  TimePoint mOrdered;
+  TimePoint mDeadline;
+  std::string mState; /**< Last state that the relays wrote. */
+};
+
 /** One incarnation of a relay. */
 struct Life
 {
@@ -114,6 +126,7 @@
   std::vector<std::string> mDrainedEndpoints; /**< Endpoints whose leaving the store accepted. */
   std::vector<Disturbance> mDisturbances;
   std::vector<Configuration> mConfigurations; /**< In order of writing. */
+  std::vector<Rollout> mRollouts;
   std::vector<Life> mLives;
   std::vector<TimePoint> mReloads; /**< When SIGHUP was sent to a relay. */
   std::vector<ReadinessAnswer> mReadiness;
--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -27,8 +27,12 @@
 constexpr milliseconds kStopTimeout{ 12000 };
 constexpr int kMaxMisses = 2;
 constexpr int kFirstVersion = 10;
-constexpr int kSilenceMs = 1500;
+constexpr int kSilenceMs = 10000; // Ended before, with the fault.
 constexpr int kSlowMs = 400;
+constexpr milliseconds kEndpointStart{ 100 };
+constexpr std::chrono::seconds kRolloutPeriod{ 6 };
+constexpr milliseconds kRolloutOverrun{ 1000 };
+constexpr int kGenerations = 1000; // Of an endpoint, at most, before its next version.
 constexpr const char* kDrainMs = "4000";
 
 std::uint16_t FreePort()
@@ -185,7 +189,7 @@
   StartStore();
   for (const auto* service : { "note-llm", "orders" }) {
     for (int n = 1; n <= 3; ++n) {
-      mEndpoints.push_back({ std::string(service) + "-" + std::to_string(n), service });
+      mEndpoints.push_back({ std::string(service) + "-" + std::to_string(n), service, "v1" });
     }
   }
   for (auto& it : mEndpoints) {
@@ -232,6 +236,8 @@
                               aEndpoint.mService,
                               "--zone",
                               "zone-a",
+                              "--version",
+                              aEndpoint.mVersion,
                               "--event-ms",
                               "30",
                               "--drain-ms",
@@ -356,6 +362,9 @@
     Configure();
     return true;
   }
+  if (aFault.mKind == FaultKind::RolledOut) {
+    return BeginRollout(aFault);
+  }
   if (aFault.mKind == FaultKind::PartCrashing) {
     BeginCrashes();
     return true;
@@ -413,19 +422,22 @@
     endpoint.mProcess->Signal(SIGKILL);
     return true;
   }
-  SetEndpointSwitches(endpoint, aFault.mKind, true);
+  SetEndpointSwitches(aFault, true);
   return true;
 }
 
-/** Begins or ends a fault at an endpoint; pauses and limits at all endpoints of its service, as a
-    refusal needs them all. */
-void Fleet::SetEndpointSwitches(const Endpoint& aEndpoint, FaultKind aKind, bool aIsBegin)
+/** Begins or ends a fault at an endpoint; pauses, limits and half of the silences at all endpoints
+   of its service. */
+void Fleet::SetEndpointSwitches(const Fault& aFault, bool aIsBegin)
 {
-  const bool isForService =
-    aKind == FaultKind::EndpointPausing || aKind == FaultKind::EndpointLimited;
+  const auto& endpoint = mEndpoints[aFault.mTarget % mEndpoints.size()];
+  const bool isUpperHalf = aFault.mTarget / mEndpoints.size() % 2 == 1;
+  const bool isForService = aFault.mKind == FaultKind::EndpointPausing ||
+                            aFault.mKind == FaultKind::EndpointLimited ||
+                            (aFault.mKind == FaultKind::EndpointSilent && isUpperHalf);
   for (const auto& it : mEndpoints) {
-    if (&it == &aEndpoint || (isForService && it.mService == aEndpoint.mService)) {
-      SetSwitch(it.mPort, EndpointSwitches(aKind, aIsBegin));
+    if (&it == &endpoint || (isForService && it.mService == endpoint.mService)) {
+      SetSwitch(it.mPort, EndpointSwitches(aFault.mKind, aIsBegin));
     }
   }
 }
@@ -505,12 +517,12 @@
     case FaultKind::EndpointLimited:
     case FaultKind::EndpointPausing:
     case FaultKind::EndpointDeparting:
-      SetEndpointSwitches(endpoint, aFault.mKind, false);
+      SetEndpointSwitches(aFault, false);
       break;
     case FaultKind::EndpointSlow:
     case FaultKind::EndpointFailing:
     case FaultKind::EndpointBreaking:
-      SetEndpointSwitches(endpoint, aFault.mKind, false);
+      SetEndpointSwitches(aFault, false);
       Calm(Subject::Endpoint, endpoint.mName);
       break;
     default:
@@ -524,11 +536,96 @@
   SuperviseEndpoints();
   if (Clock::now() >= mNextSample) {
     mNextSample = Clock::now() + kSampleInterval;
+    SuperviseRollout();
     SampleReadiness();
     SampleResources(false);
   }
 }
 
+/** Starts the endpoints of a new version and orders its roll-out. One is under way at a time. */
+bool Fleet::BeginRollout(const Fault& aFault)
+{
+  if (!mNewEndpoints.empty()) {
+    return false;
+  }
+  const auto number = static_cast<int>(mEvidence.mRollouts.size()) + 2;
+  Rollout rollout;
+  rollout.mService = mEndpoints[aFault.mTarget % mEndpoints.size()].mService;
+  rollout.mVersion = "v" + std::to_string(number);
+  rollout.mIsBad = aFault.mTarget % 2 == 1;
+  for (const auto& it : mEndpoints) {
+    if (it.mService == rollout.mService) {
+      mNewEndpoints.push_back({ it.mName, it.mService, rollout.mVersion, number * kGenerations });
+      StartEndpoint(mNewEndpoints.back());
+    }
+  }
+  std::this_thread::sleep_for(kEndpointStart);
+  for (const auto& it : mNewEndpoints) {
+    if (rollout.mIsBad && !SetSwitch(it.mPort, R"({"error_status":500})")) {
+      throw std::runtime_error("an endpoint of a new version does not start");
+    }
+  }
+  Json::Value body(Json::objectValue);
+  body["Metadata"]["Name"] = rollout.mService;
+  body["Spec"]["Service"] = rollout.mService;
+  body["Spec"]["Target"] = rollout.mVersion;
+  body["Spec"]["PeriodS"] = static_cast<int>(kRolloutPeriod.count());
+  rollout.mOrdered = Clock::now();
+  const std::string kind = "/skylarkchute/objects/rollouts";
+  if (CallOnce(mStorePort, "PUT", kind + "/" + rollout.mService, ToText(body), kCallTimeout)
+        .mStatus == 404) {
+    CallOnce(mStorePort, "POST", kind, ToText(body), kCallTimeout);
+  }
+  rollout.mDeadline = Clock::now() + kRolloutPeriod;
+  mEvidence.mRollouts.push_back(rollout);
+  return true;
+}
+
+/** Returns the state that the relays have written for a roll-out, empty if none. */
+std::string Fleet::RolloutState(const Rollout& aRollout) const
+{
+  const auto answer = CallOnce(
+    mStorePort, "GET", "/skylarkchute/objects/rollouts/" + aRollout.mService, "", kCallTimeout);
+  const auto object = answer.mIsComplete ? ParseRecord(answer.mBody) : Json::Value();
+  if (!object.isObject() || !object["Status"].isObject() ||
+      object["Status"]["Target"].asString() != aRollout.mVersion) {
+    return {};
+  }
+  return object["Status"]["State"].asString();
+}
+
+/** Stops the old endpoints of a completed roll-out at once, or lets the new ones leave. */
+void Fleet::SuperviseRollout()
+{
+  if (mNewEndpoints.empty()) {
+    return;
+  }
+  auto& rollout = mEvidence.mRollouts.back();
+  rollout.mState = RolloutState(rollout);
+  if (rollout.mState == "completed") {
+    ReplaceEndpoints();
+    mNewEndpoints.clear();
+  } else if (rollout.mState == "rolled_back" ||
+             Clock::now() > rollout.mDeadline + kRolloutOverrun) {
+    for (auto& it : mNewEndpoints) {
+      it.mProcess->Signal(SIGTERM);
+      mLeavingProcesses.push_back(std::move(it.mProcess));
+    }
+    mNewEndpoints.clear();
+  }
+}
+
+void Fleet::ReplaceEndpoints()
+{
+  for (auto& added : mNewEndpoints) {
+    const auto old =
+      std::find_if(mEndpoints.begin(), mEndpoints.end(), [&](const Endpoint& aEndpoint) {
+        return aEndpoint.mName == added.mName;
+      });
+    *old = std::move(added);
+  }
+}
+
 void Fleet::SuperviseRelays()
 {
   const auto now = Clock::now();
@@ -648,6 +745,7 @@
       Run run;
       run.mId = record["id"].asString();
       run.mEndpoint = record["endpoint"].asString();
+      run.mVersion = record["version"].asString();
       run.mPath = record["path"].asString();
       run.mBody = record["body"].asString();
       run.mParts = record["part"].asString();
@@ -674,6 +772,8 @@
   for (auto& it : mEndpoints) {
     it.mProcess.reset();
   }
+  mNewEndpoints.clear();
+  mLeavingProcesses.clear();
   mStore.reset();
   ReadRecords();
   aOut = std::move(mEvidence);
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -70,6 +70,7 @@
   {
     std::string mName;
     std::string mService;
+    std::string mVersion;
     int mGeneration = 0;
     std::uint16_t mPort = 0;
     std::unique_ptr<ChildProcess> mProcess = nullptr;
@@ -86,9 +87,13 @@
   void Configure();
   bool BeginRelayFault(const Fault& aFault);
   bool BeginEndpointFault(const Fault& aFault);
-  void SetEndpointSwitches(const Endpoint& aEndpoint, FaultKind aKind, bool aIsBegin);
+  void SetEndpointSwitches(const Fault& aFault, bool aIsBegin);
   void BeginStoreFault(const Fault& aFault);
   void BeginCrashes();
+  bool BeginRollout(const Fault& aFault);
+  std::string RolloutState(const Rollout& aRollout) const;
+  void SuperviseRollout();
+  void ReplaceEndpoints();
   void SuperviseRelays();
   void SuperviseEndpoints();
   void SampleReadiness();
@@ -102,6 +107,8 @@
   std::unique_ptr<ChildProcess> mStore;
   std::uint16_t mStorePort = 0;
   std::vector<Endpoint> mEndpoints;
+  std::vector<Endpoint> mNewEndpoints; /**< Of the roll-out that is under way. */
+  std::vector<std::unique_ptr<ChildProcess>> mLeavingProcesses;
   std::vector<Relay> mRelays;
   std::string mSeeds;
   Evidence mEvidence;
--- a/soak/PromiseChecker.cpp
+++ b/soak/PromiseChecker.cpp
@@ -54,6 +54,10 @@
 /** Requests that may end without an answer, or reach an endpoint after their client has left. */
 constexpr std::size_t kToleratedLosses = 3;
 
+/** Requests that may reach a bad version: a share of those of its service, and some more. */
+constexpr double kExposedShare = 0.15;
+constexpr double kExposedSlack = 30;
+
 constexpr std::uint64_t kMaxResidentBytes = 110'000'000;
 constexpr std::uint64_t kMaxDescriptors = 4100;
 
@@ -136,6 +140,8 @@
            CheckDroppedRoutes(),
            CheckDraining(),
            CheckCrashingPart(),
+           CheckRollouts(),
+           CheckExposure(),
            CheckNotReadyWhileStopping(),
            CheckLives(),
            CheckRecovery(),
@@ -522,6 +528,53 @@
   return result;
 }
 
+CheckResult PromiseChecker::CheckRollouts() const
+{
+  CheckResult result{ "a good version is completed, a bad one rolled back", 0, 0, {} };
+  for (const auto& it : mEvidence.mRollouts) {
+    if (!IsCalm(Subject::Relay, "", it.mOrdered, it.mDeadline) ||
+        !IsCalm(Subject::Store, "", it.mOrdered, it.mDeadline) ||
+        !AreEndpointsCalm(it.mOrdered, it.mDeadline)) {
+      continue;
+    }
+    ++result.mCases;
+    if (it.mState != (it.mIsBad ? "rolled_back" : "completed")) {
+      Violate(result,
+              "",
+              "the " + std::string(it.mIsBad ? "bad " : "good ") + it.mVersion + " of " +
+                it.mService + " ends as '" + it.mState + "'");
+    }
+  }
+  return result;
+}
+
+CheckResult PromiseChecker::CheckExposure() const
+{
+  CheckResult result{ "a bad version gets few requests", 0, 0, {} };
+  for (const auto& rollout : mEvidence.mRollouts) {
+    if (!rollout.mIsBad) {
+      continue;
+    }
+    ++result.mCases;
+    std::size_t all = 0;
+    std::size_t exposed = 0;
+    for (const auto& it : mEvidence.mRuns) {
+      if (it.mAt >= rollout.mOrdered && it.mAt <= rollout.mDeadline &&
+          it.mEndpoint.starts_with(rollout.mService)) {
+        ++all;
+        exposed += it.mVersion == rollout.mVersion ? 1 : 0;
+      }
+    }
+    if (static_cast<double>(exposed) > kExposedShare * static_cast<double>(all) + kExposedSlack) {
+      Violate(result,
+              "",
+              rollout.mVersion + " got " + std::to_string(exposed) + " of " + std::to_string(all) +
+                " requests");
+    }
+  }
+  return result;
+}
+
 CheckResult PromiseChecker::CheckNotReadyWhileStopping() const
 {
   CheckResult result{ "a stopping relay is not ready", 0, 0, {} };
--- a/soak/PromiseChecker.h
+++ b/soak/PromiseChecker.h
@@ -49,6 +49,8 @@
   CheckResult CheckDroppedRoutes() const;
   CheckResult CheckDraining() const;
   CheckResult CheckCrashingPart() const;
+  CheckResult CheckRollouts() const;
+  CheckResult CheckExposure() const;
   CheckResult CheckNotReadyWhileStopping() const;
   CheckResult CheckLives() const;
   CheckResult CheckRecovery() const;
--- a/soak/Schedule.cpp
+++ b/soak/Schedule.cpp
@@ -13,7 +13,7 @@
 
 constexpr milliseconds kLeadIn{ 3000 };
 constexpr milliseconds kStorm{ 10000 };
-constexpr milliseconds kPlannedWork{ 6000 };
+constexpr milliseconds kPlannedWork{ 9000 };
 constexpr milliseconds kCrashes{ 9000 };
 
 /** Time without a fault before planned work, so that all counts as calm again. */
@@ -22,6 +22,12 @@
 /** Time without a fault at the end, to see the recovery. */
 constexpr milliseconds kRecovery{ 15000 };
 
+constexpr milliseconds kOrderPause{ 800 };
+constexpr std::uint32_t kOrderEndpoint = 3;
+
+/** Six endpoints, each alone or with its service. */
+constexpr std::uint32_t kEndpointTargets = 12;
+
 const std::vector<FaultKind> kUnplanned{
   FaultKind::RelayPaused,       FaultKind::RelayKilled,      FaultKind::RelayStopped,
   FaultKind::RelayReloaded,     FaultKind::EndpointSilent,   FaultKind::EndpointSlow,
@@ -47,11 +53,23 @@
     for (auto at = aBegin + Between(100, 900); at < aEnd; at += Between(250, 1100)) {
       const auto kind = aKinds[mRandom() % aKinds.size()];
       const auto duration = std::min(Between(300, 3500), aEnd - at);
-      const auto targets = std::max<std::uint32_t>(mRelays, 6);
-      mFaults.push_back({ at, duration, kind, static_cast<std::uint32_t>(mRandom() % targets) });
+      const auto target = static_cast<std::uint32_t>(mRandom() % (kEndpointTargets * mRelays));
+      mFaults.push_back({ at, duration, kind, target });
     }
   }
 
+  void AddRollout(milliseconds aAt)
+  {
+    const auto target = static_cast<std::uint32_t>(mRandom() % kEndpointTargets);
+    mFaults.push_back({ aAt, milliseconds(0), FaultKind::RolledOut, target });
+  }
+
+  /** Lets the endpoints of orders refuse, so that there are refusals to check. */
+  void AddPause(milliseconds aAt)
+  {
+    mFaults.push_back({ aAt, kOrderPause, FaultKind::EndpointPausing, kOrderEndpoint });
+  }
+
   void AddCrashes(milliseconds aAt)
   {
     mFaults.push_back({ aAt, kCrashes, FaultKind::PartCrashing, 0 });
@@ -94,6 +112,7 @@
     { FaultKind::StoreSlow, "store-slow" },
     { FaultKind::StoreForgetting, "store-forgetting" },
     { FaultKind::StoreRestored, "store-restored" },
+    { FaultKind::RolledOut, "rolled-out" },
     { FaultKind::Configured, "configured" },
   };
   return names.at(aKind);
@@ -107,8 +126,12 @@
   const milliseconds end = milliseconds(aLength) - kRecovery;
   auto at = kLeadIn;
   while (at < end) {
+    builder.AddPause(at);
     builder.AddSeries(kUnplanned, at, std::min(at + kStorm, end));
     at += kStorm + kPause;
+    if (at + kPlannedWork <= end) {
+      builder.AddRollout(at);
+    }
     builder.AddSeries(kPlanned, at, std::min(at + kPlannedWork, end));
     at += kPlannedWork;
     if (at + kCrashes <= end) {
--- a/soak/Schedule.h
+++ b/soak/Schedule.h
@@ -29,6 +29,7 @@
   StoreSlow,
   StoreForgetting, /**< Loses its history. */
   StoreRestored,   /**< Copied at the start of the fault, restored at its end. */
+  RolledOut,       /**< A new version; a bad one if the target is odd. */
   Configured,      /**< The operator writes a new configuration. */
 };
 
@@ -37,7 +38,7 @@
   std::chrono::milliseconds mAt{ 0 };
   std::chrono::milliseconds mDuration{ 0 }; /**< Zero for a single event. */
   FaultKind mKind = FaultKind::RelayPaused;
-  std::uint32_t mTarget = 0; /**< Relay or endpoint, modulo their number. */
+  std::uint32_t mTarget = 0; /**< Relay or endpoint, modulo their number; see Fleet. */
 };
 
 std::string FaultName(FaultKind aKind);
--- a/standins/users_platform/UsersEndpointStandIn.cpp
+++ b/standins/users_platform/UsersEndpointStandIn.cpp
@@ -224,6 +224,7 @@
     std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count());
   line["path"] = aRequest.getURI();
   line["body"] = aBody;
+  line["version"] = mOptions.mVersion;
   line["part"] = aRequest.get(kPromptPrefixHeader, "");
   line["endpoint"] = mOptions.mId;
   const std::lock_guard lock(mMutex);
--- a/tests/skylarkchute_soak/PromiseCheckerTests.cpp
+++ b/tests/skylarkchute_soak/PromiseCheckerTests.cpp
@@ -90,6 +90,10 @@
   evidence.mExchanges.back().mStatus = 503;
   evidence.mLastFaultEnd = At(seconds(30));
   add(Answered("recovered", RequestKind::Read, seconds(50)));
+  evidence.mRollouts.push_back(
+    { "service", "v2", false, At(seconds(50)), At(seconds(56)), "completed" });
+  evidence.mRollouts.push_back(
+    { "endpoint", "v3", true, At(seconds(50)), At(seconds(56)), "rolled_back" });
   evidence.mDrainedEndpoints.push_back("endpoint-1");
   evidence.mReadiness.push_back({ "relay-2", At(seconds(21)), true });
   evidence.mResources.push_back({ "relay-1", At(seconds(50)), 20'000'000, 60, true });
@@ -140,7 +144,7 @@
   { "endpoints run what clients sent", [](Evidence& it) { it.mRuns.front().mPath = "/other"; } },
   { "endpoints run what clients sent",
     [](Evidence& it) {
-      it.mRuns.push_back({ "unknown", "endpoint-1", "/", "", "", {}, {} });
+      it.mRuns.push_back({ "unknown", "endpoint-1", "v1", "/", "", "", {}, {} });
     } },
   { "an order runs at most once",
     [](Evidence& it) { it.mRuns.push_back(RunOf(Find(it, "order"))); } },
@@ -170,6 +174,16 @@
     [](Evidence& it) { it.mRuns.front().mDraining = milliseconds(2500); } },
   { "a prompt part that crashes endpoints is stopped",
     [](Evidence& it) { it.mRuns.insert(it.mRuns.end(), 4, RunOf(Find(it, "known"))); } },
+  { "a good version is completed, a bad one rolled back",
+    [](Evidence& it) { it.mRollouts.front().mState = "rolled_back"; } },
+  { "a good version is completed, a bad one rolled back",
+    [](Evidence& it) { it.mRollouts.back().mState = "completed"; } },
+  { "a bad version gets few requests",
+    [](Evidence& it) {
+      auto run = RunOf(Find(it, "recovered"));
+      run.mVersion = "v3";
+      it.mRuns.insert(it.mRuns.end(), 50, run);
+    } },
   { "a stopping relay is not ready",
     [](Evidence& it) {
       it.mReadiness.push_back({ "relay-2", At(milliseconds(24500)), true });
