Soak clients share sixteen prompt parts

Cause: all streams named one shared part, so that all belonged to one subject, which the users' traffic never does.

--- a/soak/SoakClient.cpp
+++ b/soak/SoakClient.cpp
@@ -28,6 +28,12 @@
 constexpr std::uint64_t kOrders = 25;
 constexpr std::uint64_t kGivenUpStreams = 5;
 
+/** Returns the shared prompt part of a request: one of sixteen, by the end of its id. */
+std::string SubjectOf(const Exchange& aExchange)
+{
+  return std::string("5a1") + aExchange.mId.back();
+}
+
 std::string HeadOf(const Exchange& aExchange)
 {
   const bool hasBody = !aExchange.mBody.empty();
@@ -36,9 +42,9 @@
   head += "Skylarkchute-Deadline-Ms: " + std::to_string(aExchange.mDeadline.count()) + "\r\n";
   head += "Skylarkchute-Credential: soak-key\r\n";
   if (aExchange.mKind == RequestKind::Stream) {
-    const auto shared = aExchange.mPart.empty() ? "5a11:20," : aExchange.mPart + ":20,";
+    const auto shared = aExchange.mPart.empty() ? SubjectOf(aExchange) : aExchange.mPart;
     head += "Skylarkchute-Model: small\r\nSkylarkchute-Token-Counts: 40,8\r\n";
-    head += "Skylarkchute-Prompt-Prefix: " + shared +
+    head += "Skylarkchute-Prompt-Prefix: " + shared + ":20," +
             (aExchange.mPart.empty() ? aExchange.mId : "ab") + ":20\r\n";
   }
   if (hasBody) {
