A good version is completed also where all requests share one subject

Cause: until a newer version has returned 20 answers, only subjects in the first half of the move order try it. If all subjects in use are in the other half, it never gets a request, has no evidence, and its roll-out is never completed. Change: without evidence the share of subjects that try the version grows to 1 from kRampStart to kFullShareStart, within the same exposure limit.

--- a/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
@@ -21,8 +21,9 @@
 constexpr double kCanaryShare = 0.08;
 constexpr double kSmallFleet = 12;
 
-/** Canary share from kSessionMoveStart on if the service has so little traffic that the newer
-    version has not returned kMinAnswers yet. The exposure limit still applies. */
+/** Canary share from kSessionMoveStart on if the newer version has not returned kMinAnswers yet. It
+    grows to 1 between kRampStart and kFullShareStart, since the few subjects in use may all be late
+    in the move order. The exposure limit still applies. */
 constexpr double kLowTrafficCanaryShare = 0.5;
 
 /** Fraction that one instance uses of its share of the exposure limit, because requests that other
@@ -58,6 +59,15 @@
   return static_cast<double>(StableHash(aTarget, aSubject) >> 32U) * kRange;
 }
 
+/** Returns the share of subjects that try a version without sufficient evidence.
+    @param aProgress  elapsed part of the period, from kSessionMoveStart on */
+double LowTrafficShare(double aProgress)
+{
+  const double part =
+    std::clamp((aProgress - kRampStart) / (kFullShareStart - kRampStart), 0.0, 1.0);
+  return kLowTrafficCanaryShare + (1 - kLowTrafficCanaryShare) * part;
+}
+
 void KeepVersion(std::vector<FleetRow*>& aRows, const std::string& aVersion)
 {
   std::erase_if(aRows, [&](const auto* aRow) { return aRow->mEntry.mVersion != aVersion; });
@@ -186,7 +196,7 @@
     return moveOrder < CanaryShare() + (1 - CanaryShare()) * part;
   }
   const bool hasLowTraffic = progress >= kSessionMoveStart && !hasEvidence;
-  if (moveOrder >= (hasLowTraffic ? kLowTrafficCanaryShare : CanaryShare()) ||
+  if (moveOrder >= (hasLowTraffic ? LowTrafficShare(progress) : CanaryShare()) ||
       !MayExpose(aRollout, kCanaryShare)) {
     return false;
   }
--- a/tests/skylarkchute_routing/RolloutTrackerTests.cpp
+++ b/tests/skylarkchute_routing/RolloutTrackerTests.cpp
@@ -13,7 +13,8 @@
 
 constexpr seconds kPeriod{ 24 };
 
-/** Sends requests of 400 subjects at a steady rate. Those on `v2` fail as the caller specifies. */
+/** Sends requests of 400 subjects, or of mOnlySubject if it is set, at a steady rate. Those on `v2`
+ * fail as the caller specifies. */
 struct Traffic
 {
   int mOlder = 0;
@@ -27,7 +28,8 @@
   {
     for (int i = 0; i < aTime.count() * mPerSecond; ++i) {
       aFleet.mNow += milliseconds(1000 / mPerSecond);
-      auto plan = aFleet.Admit("/chat/1", "s" + std::to_string(mSubject++ % 400));
+      auto plan = aFleet.Admit(
+        "/chat/1", mOnlySubject.empty() ? "s" + std::to_string(mSubject++ % 400) : mOnlySubject);
       const auto attempt = aFleet.Attempt(plan);
       const bool isNewer = attempt.mVersion == "v2";
       (isNewer ? mNewer : mOlder) += 1;
@@ -42,6 +44,7 @@
   }
 
   int mSubject = 0;
+  std::string mOnlySubject;
   int mPerSecond = 40;
 };
 
@@ -96,6 +99,38 @@
   CHECK(Step(fleet) == RolloutStep::Complete);
 }
 
+TEST_CASE("rollout: a service whose requests share one prompt is moved in time")
+{
+  // Whatever the place of the one subject in the order in which subjects move.
+  for (int subject = 0; subject < 8; ++subject) {
+    FleetFixture fleet;
+    fleet.AddEndpoints("old", 2);
+    fleet.AddEndpoints("new", 2, "v2");
+    fleet.OrderRollout("v2", kPeriod);
+    Traffic traffic;
+    traffic.mOnlySubject = "only" + std::to_string(subject);
+    traffic.Send(fleet, seconds(22), [](int) { return false; });
+    INFO(subject);
+    CHECK(Step(fleet) == RolloutStep::Complete);
+  }
+}
+
+TEST_CASE("rollout: a bad version is left quickly if all requests share one prompt")
+{
+  for (int subject = 0; subject < 8; ++subject) {
+    FleetFixture fleet;
+    fleet.AddEndpoints("old", 2);
+    fleet.AddEndpoints("new", 2, "v2");
+    fleet.OrderRollout("v2", kPeriod);
+    Traffic traffic;
+    traffic.mOnlySubject = "only" + std::to_string(subject);
+    traffic.Send(fleet, seconds(22), [](int) { return true; });
+    INFO(subject);
+    CHECK(Step(fleet) == RolloutStep::RollBack);
+    CHECK(traffic.mNewer <= 0.15 * (traffic.mNewer + traffic.mOlder) + 30);
+  }
+}
+
 TEST_CASE("rollout: slow answers under full load do not stop a good version that took all requests")
 {
   // One answer in fifty is slow while the share is small. Once all requests have moved, prompts
