A stream without framing that ends before its first event is broken off

Cause: the end of the connection is the end of a response with neither a length nor chunks. With no event at all this is also what an endpoint leaves that crashes after its head; it was passed on as a whole, empty stream, and cleared the request as a crash suspect.

Ruled out: the other ends.

Change: such an end counts as a lost connection, with the crash probe if no event has come. An end inside an event takes the same path.

--- a/modules/skylarkchute_relay/http/ResponseReader.h
+++ b/modules/skylarkchute_relay/http/ResponseReader.h
@@ -33,6 +33,9 @@
   /** Returns whether the connection may carry another request after this response. */
   bool IsKeepAlive() const { return !mParser->need_eof() && mParser->get().keep_alive(); }
 
+  /** Returns whether the body has neither a length nor chunks and ends with the connection. */
+  bool EndsWithConnection() const { return mParser->need_eof(); }
+
   unsigned Status() const { return mParser->get().result_int(); }
   const boost::beast::http::fields& Fields() const { return mParser->get(); }
 
--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -161,6 +161,7 @@
   }
   mResponse.mStatus = aReader.Status();
   mResponse.mFields = aReader.Fields();
+  mEndsWithConnection = aReader.EndsWithConnection();
   const bool isValid =
     mEndpointHead.mHasSeal && !mEndpointHead.mHasContentEncoding && mEndpointHead.mRequestId == mId;
   mIsStream =
@@ -308,10 +309,11 @@
 
 void RelayedRequest::FinishStream(bool aReusable)
 {
-  if (mSplitter.HasPartialEvent()) {
+  // An endpoint that crashes after the head of such a stream ends it in the same way.
+  const bool isEmpty = mEndsWithConnection && !mHasFirstByte;
+  if (mSplitter.HasPartialEvent() || isEmpty) {
     mConnection->Close();
-    EndAttempt(RelayOutcome::Lost);
-    TryNextAttempt();
+    OnConnectionFailed(ConnectionFailure::Closed);
     return;
   }
   if (aReusable) {
--- a/modules/skylarkchute_relay/requests/RelayedRequest.h
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.h
@@ -96,6 +96,7 @@
   BufferedResponse mResponse;
   EventSplitter mSplitter;
   bool mIsStream = false;
+  bool mEndsWithConnection = false; /**< The response has neither a length nor chunks. */
 
   // State that outlives an attempt.
   std::optional<BufferedResponse> mFailureResponse; /**< Latest 5xx response; sent to the caller
