Requests to the relay itself end with their limits

Cause: the parser limits head and body, but leaves the head of a chunk and a trailer unconsumed until their end; ControlServer kept those bytes without bound, and each read restarted the idle timer.

Ruled out: callers; their connections stop reading at 64 KiB and time out.

Change: a connection that leaves more than 64 KiB unconsumed is closed.

--- a/modules/skylarkchute_relay/callers/ControlServer.cpp
+++ b/modules/skylarkchute_relay/callers/ControlServer.cpp
@@ -16,6 +16,10 @@
 constexpr std::uint32_t kMaxHeadBytes = 16 * 1024;
 constexpr std::uint32_t kMaxBodyBytes = 8 * 1024 * 1024;
 constexpr std::size_t kReadBytes = 16 * 1024;
+
+/** Bytes that the reader may leave for later: the beginning of a head, of a chunk's head or of a
+    trailer. */
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
 constexpr std::chrono::seconds kIdleTimeout{ 30 };
 
 /** Delay before the next accept after a failed one, such as when no file descriptors are left. */
@@ -79,6 +83,10 @@
       Close();
       return;
     }
+    if (!mReader->IsDone() && mReceived.size() > kMaxUnparsedBytes) {
+      Close();
+      return;
+    }
     if (!mReader->IsDone()) {
       Wait();
       return;
--- a/tests/skylarkchute_relay/EndlessAnswerTests.cpp
+++ b/tests/skylarkchute_relay/EndlessAnswerTests.cpp
@@ -1,6 +1,7 @@
 #include "RelayFixture.h"
 
 #include <catch2/catch.hpp>
+#include <skylarkchute_relay/callers/ControlServer.h>
 #include <skylarkchute_relay/net/HttpCall.h>
 
 #include <malloc.h>
@@ -298,3 +299,21 @@
   CHECK(relay.RunUntil([&] { return answers.size() == 2; }));
   CHECK(answers == std::vector<bool>{ false, true });
 }
+
+TEST_CASE("a request without end from a peer is closed")
+{
+  RelayFixture relay;
+  ControlServer server(relay.mLoop, [](const ControlRequest&) { return ControlResponse{}; });
+  boost::asio::ip::tcp::acceptor reserved(relay.mLoop,
+                                          { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  const auto address = reserved.local_endpoint();
+  reserved.close();
+  REQUIRE(server.Listen(address));
+  const auto begin = GENERATE(as<std::string>(), "5;x=", "0\r\nX-Trailer: ");
+  const auto socket = std::make_shared<boost::asio::ip::tcp::socket>(relay.mLoop);
+  socket->connect(address);
+  const auto sender = std::make_shared<EndlessSender>(socket);
+  sender->Start("POST /rpc HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + begin, "x");
+  CHECK(relay.RunUntil([&] { return sender->IsClosed(); }));
+  CHECK(sender->PeakGrowth() < 2 * kMiB);
+}
