Whole answers of more than 2 MiB reach their callers

Cause: the limit on a caller's unsent bytes, meant for callers that stop reading a stream, was also applied to answers that are sent whole: the connection of the caller was closed instead.

Change: the limit counts for the chunks of a stream; whole answers are bounded where they are held (AnswerMemory).

Measured: an answer of 3 MiB closes the caller's connection on the old code and arrives whole now; relay tests pass (57 cases).

--- a/modules/skylarkchute_relay/callers/CallerConnection.cpp
+++ b/modules/skylarkchute_relay/callers/CallerConnection.cpp
@@ -18,8 +18,8 @@
 /** Pipelined bytes that are buffered while a request is in progress. */
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
 
-/** The connection is closed when more response bytes than this are queued; the caller is then
-    assumed to have stopped reading. */
+/** The connection is closed when more bytes of a stream than this are queued; the caller is then
+    assumed to have stopped reading. A response that is sent whole may be longer. */
 constexpr std::size_t kMaxUnsentBytes = 2 * 1024 * 1024;
 
 /** Added to the callers' own idle timeout, so that the caller closes an idle connection first and
@@ -212,6 +212,10 @@
   const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", aBytes.size());
   std::string chunk(size.data(), static_cast<std::size_t>(length));
   chunk.append(aBytes).append("\r\n");
+  if (mOutgoing.size() + chunk.size() > kMaxUnsentBytes) {
+    Close();
+    return;
+  }
   QueueBytes(chunk);
 }
 
@@ -232,10 +236,6 @@
     return;
   }
   mOutgoing.append(aBytes);
-  if (mOutgoing.size() > kMaxUnsentBytes) {
-    Close();
-    return;
-  }
   Write();
 }
 
--- a/tests/skylarkchute_relay/EndlessAnswerTests.cpp
+++ b/tests/skylarkchute_relay/EndlessAnswerTests.cpp
@@ -317,3 +317,22 @@
   CHECK(relay.RunUntil([&] { return sender->IsClosed(); }));
   CHECK(sender->PeakGrowth() < 2 * kMiB);
 }
+
+TEST_CASE("an answer of several MiB reaches its caller whole")
+{
+  static constexpr std::size_t kBytes = 3 * kMiB;
+  RelayFixture relay;
+  FakeEndpoint endpoint(relay.mLoop, [](const std::string&, const auto& aSocket) {
+    std::make_shared<EndlessSender>(aSocket, kBytes)
+      ->Start(kSealedHead + "Content-Length: " + std::to_string(kBytes) + "\r\n\r\n", "x");
+  });
+  relay.AddEndpoint("e1", endpoint.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller, CallerRequest("GET", "/check/1", "r1"));
+  CHECK(relay.RunUntil([&] { return answer->size() > kBytes || relay.mIsClosed[0]; }));
+  CHECK_FALSE(relay.mIsClosed[0]);
+  const auto body = answer->find("\r\n\r\n");
+  REQUIRE(body != std::string::npos);
+  CHECK(answer->substr(body + 4) == std::string(kBytes, 'x'));
+}
