--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "HttpConnection.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <json/json.h>
 
@@ -9,6 +10,8 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <random>
+#include <set>
 #include <stdexcept>
 #include <thread>
 #include <unistd.h>
@@ -19,6 +22,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::uint32_t kFirstPort = 20000;
+constexpr std::uint32_t kPorts = 12000;
 constexpr milliseconds kCallTimeout{ 1000 };
 constexpr milliseconds kReadinessTimeout{ 100 };
 constexpr milliseconds kStartTimeout{ 20000 };
@@ -35,10 +40,24 @@
 constexpr int kGenerations = 1000; // Of an endpoint, at most, before its next version.
 constexpr const char* kDrainMs = "4000";
 
+/** Returns a free port outside the range that the system gives to outgoing connections, where
+   another process could take it before it is used. */
 std::uint16_t FreePort()
 {
-  const Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", 0));
-  return probe.address().port();
+  static std::mt19937 random(std::random_device{}());
+  static std::set<std::uint16_t> taken;
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + random() % kPorts);
+    if (!taken.insert(port).second) {
+      continue;
+    }
+    try {
+      const Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", port));
+      return port;
+    } catch (const Poco::Exception&) {
+      continue; // In use.
+    }
+  }
 }
 
 std::string Local(std::uint16_t aPort)
