--- a/standins/users_platform/UsersEndpointStandIn.cpp
+++ b/standins/users_platform/UsersEndpointStandIn.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/StreamCopier.h>
 
 #include <iostream>
@@ -48,6 +49,8 @@
   mSwitches["error_status"] = 0;
   mSwitches["crash_word"] = "";
   mSwitches["break_after"] = 0;
+  mSwitches["endless"] = "";
+  mSwitches["unframed"] = false;
   Register("ready");
   mHeartbeatThread = std::thread([this] { SendHeartbeats(); });
 }
@@ -178,6 +181,13 @@
     std::quick_exit(1);
   }
   std::this_thread::sleep_for(milliseconds(SwitchValue("slow_ms").asInt64()));
+  const auto endless = SwitchValue("endless").asString();
+  if (!endless.empty()) {
+    const std::string head = "HTTP/1.1 200 OK\r\n" + std::string(kRequestIdHeader) + ": " + id +
+                             "\r\nSkylarkchute-Response-Seal: standin." + mOptions.mId + "\r\n";
+    SendEndless(aRequest, head + (endless == "head" ? "X-Endless: " : "\r\n"));
+    return;
+  }
   aResponse.set(kRequestIdHeader, id);
   aResponse.set("Skylarkchute-Response-Seal", "standin." + mOptions.mId);
   aResponse.set("Skylarkchute-Server-Load", LoadHeaderValue());
@@ -190,9 +200,29 @@
   answer["endpoint"] = mOptions.mId;
   answer["version"] = mOptions.mVersion;
   answer["request"] = id;
+  if (error == 0 && SwitchValue("unframed").asBool()) {
+    aResponse.send() << WriteJson(answer) << std::flush;
+    return;
+  }
   Respond(aResponse, error != 0 ? error : kOk, answer);
 }
 
+/** Sends bytes until the receiver closes the connection. */
+void UsersEndpointStandIn::SendEndless(Request& aRequest, const std::string& aBegin)
+{
+  constexpr std::size_t kBlockBytes = 64 * 1024;
+  auto& socket = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(aRequest).socket();
+  const std::string block(kBlockBytes, 'x');
+  try {
+    socket.sendBytes(aBegin.data(), static_cast<int>(aBegin.size()));
+    while (true) {
+      socket.sendBytes(block.data(), static_cast<int>(block.size()));
+    }
+  } catch (const Poco::Exception&) {
+    AbortConnection(aRequest);
+  }
+}
+
 void UsersEndpointStandIn::RunStream(Request& aRequest, Response& aResponse)
 {
   const auto outputTokenLimit = OutputTokens(aRequest.get(kTokenCountsHeader, ""));
@@ -201,7 +231,7 @@
   const auto last = std::strtoull(aRequest.get("Last-Event-Id", "0").c_str(), nullptr, 10);
   aResponse.set("Skylarkchute-Confidence", "90");
   aResponse.setContentType("text/event-stream");
-  aResponse.setChunkedTransferEncoding(true);
+  aResponse.setChunkedTransferEncoding(!SwitchValue("unframed").asBool());
   auto& out = aResponse.send();
   for (auto n = last + 1; n <= events; ++n) {
     out << "id: " << n << "\ndata: word" << n << "\n\n" << std::flush;
--- a/standins/users_platform/UsersEndpointStandIn.h
+++ b/standins/users_platform/UsersEndpointStandIn.h
@@ -49,6 +49,7 @@
   void HandleControl(Request& aRequest, Response& aResponse);
   void Run(Request& aRequest, Response& aResponse);
   void RunStream(Request& aRequest, Response& aResponse);
+  void SendEndless(Request& aRequest, const std::string& aBegin);
   bool RefuseIfNotRunnable(const Request& aRequest, Response& aResponse);
   std::string LoadHeaderValue() const;
   Json::Value SwitchValue(const char* aName) const;
