--- a/modules/skylarkchute_relay/http/ReceivedBody.h
+++ b/modules/skylarkchute_relay/http/ReceivedBody.h
@@ -13,6 +13,8 @@
     have arrived, whatever length the head states. */
 struct ReceivedBody
 {
+  // Boost.Beast prescribes the names.
+  // NOLINTBEGIN(readability-identifier-naming)
   using value_type = std::string;
 
   class reader
@@ -46,6 +48,7 @@
   private:
     std::string& mBody;
   };
+  // NOLINTEND(readability-identifier-naming)
 };
 
 } // namespace skylarkchute
