--- a/standins/users_platform/UsersEndpointStandIn.h
+++ b/standins/users_platform/UsersEndpointStandIn.h
@@ -58,6 +58,7 @@
   void CrashIfAsked(const Request& aRequest, const std::string& aBody) const;
   void SetNoticeHeaders(Response& aResponse) const;
   void WaitWhileSilent() const;
+  void SendEndless(Request& aRequest, const std::string& aBegin);
   bool RefuseIfNotRunnable(const Request& aRequest, Response& aResponse);
   std::string LoadHeaderValue() const;
   Json::Value SwitchValue(const char* aName) const;
