Soak: crashes are those that endpoints record; no SIGHUP in a relay's first 300 ms

An endpoint that restarted while the crashing part began missed its switch, served the part, and its runs counted as crashes: a fault of the soak. And relay-1 was sent SIGHUP some ms after its start and ended by it (wait status 1): the default action of the signal, until the relay sets its handler. Ruled out: a relay that forgets the crashing part; only the endpoint without the switch got it again. Change: endpoints record which runs end them, and only these count; the switch is set until the endpoint has taken it. The check of a crashing part counts the requests sent after the first crash.

--- a/soak/Evidence.h
+++ b/soak/Evidence.h
@@ -53,6 +53,7 @@
   std::string mBody;
   std::string mParts; /**< Value of `Skylarkchute-Prompt-Prefix`. */
   TimePoint mAt;
+  bool mIsCrash = false;                              /**< The run ended its endpoint. */
   std::optional<std::chrono::milliseconds> mDraining; /**< Time since `draining` was accepted. */
 };
 
--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -34,6 +34,7 @@
 constexpr int kFirstVersion = 10;
 constexpr int kSilenceMs = 10000; // Ended before, with the fault.
 constexpr int kSlowMs = 400;
+constexpr milliseconds kLoadTime{ 300 };
 constexpr milliseconds kEndpointStart{ 100 };
 constexpr std::chrono::seconds kRolloutPeriod{ 6 };
 constexpr milliseconds kRolloutOverrun{ 1000 };
@@ -267,6 +268,7 @@
   aEndpoint.mPort = port;
   ++aEndpoint.mGeneration;
   aEndpoint.mIsLeaving = false;
+  aEndpoint.mCrashingPart.clear();
   aEndpoint.mRestartAt.reset();
 }
 
@@ -416,6 +418,10 @@
       relay.mProcess->Signal(SIGTERM);
       break;
     default:
+      // No program can keep SIGHUP from ending it before its main function runs.
+      if (Clock::now() < life.mBegin + kLoadTime) {
+        return false;
+      }
       mEvidence.mReloads.push_back(Clock::now());
       relay.mProcess->Signal(SIGHUP);
       break;
@@ -487,9 +493,6 @@
 {
   const auto part = "c0ffee" + std::to_string(++mCrashes);
   Disturb(Subject::Endpoint, "crashes", Clock::now());
-  for (const auto& it : mEndpoints) {
-    SetSwitch(it.mPort, R"({"crash_part":")" + part + R"("})");
-  }
   const std::lock_guard lock(mMutex);
   mCrashingPart = part;
 }
@@ -524,9 +527,6 @@
       Calm(Subject::Store, "store");
       break;
     case FaultKind::PartCrashing: {
-      for (const auto& it : mEndpoints) {
-        SetSwitch(it.mPort, R"({"crash_part":""})");
-      }
       Calm(Subject::Endpoint, "crashes");
       const std::lock_guard lock(mMutex);
       mCrashingPart.clear();
@@ -674,6 +674,10 @@
   const auto now = Clock::now();
   for (auto& it : mEndpoints) {
     if (!it.mProcess->WaitStatus()) {
+      const auto part = CrashingPart();
+      if (it.mCrashingPart != part && SetSwitch(it.mPort, R"({"crash_part":")" + part + R"("})")) {
+        it.mCrashingPart = part;
+      }
       continue;
     }
     if (!it.mRestartAt) {
@@ -681,11 +685,6 @@
     } else if (now >= *it.mRestartAt) {
       StartEndpoint(it);
       Calm(Subject::Endpoint, it.mName);
-      const auto part = CrashingPart();
-      if (!part.empty()) {
-        std::this_thread::sleep_for(milliseconds(50));
-        SetSwitch(it.mPort, R"({"crash_part":")" + part + R"("})");
-      }
     }
   }
 }
@@ -765,6 +764,7 @@
       run.mId = record["id"].asString();
       run.mEndpoint = record["endpoint"].asString();
       run.mVersion = record["version"].asString();
+      run.mIsCrash = record["crash"].asBool();
       run.mPath = record["path"].asString();
       run.mBody = record["body"].asString();
       run.mParts = record["part"].asString();
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -76,6 +76,7 @@
     std::unique_ptr<ChildProcess> mProcess = nullptr;
     std::optional<TimePoint> mRestartAt = std::nullopt;
     bool mIsLeaving = false;
+    std::string mCrashingPart = {}; /**< As switched on at the endpoint. */
   };
 
   void StartStore();
--- a/soak/PromiseChecker.cpp
+++ b/soak/PromiseChecker.cpp
@@ -498,21 +498,21 @@
   std::map<std::string, std::vector<const Run*>> runsByPart;
   for (const auto& it : mEvidence.mRuns) {
     const auto found = mExchangesById.find(it.mId);
-    if (found != mExchangesById.end() && !found->second->mPart.empty()) {
+    if (it.mIsCrash && found != mExchangesById.end() && !found->second->mPart.empty()) {
       runsByPart[found->second->mPart].push_back(&it);
     }
   }
   for (auto& [part, runs] : runsByPart) {
-    if (runs.size() < kCrashesKnown) {
-      continue;
-    }
     std::sort(runs.begin(), runs.end(), [](const Run* aLeft, const Run* aRight) {
       return aLeft->mAt < aRight->mAt;
     });
-    const auto known = runs[kCrashesKnown - 1]->mAt + kStableTime;
     for (const auto& it : mEvidence.mExchanges) {
-      result.mCases += it.mPart == part && it.mStart > known ? 1 : 0;
+      result.mCases += it.mPart == part && it.mStart > runs.front()->mAt ? 1 : 0;
     }
+    if (runs.size() < kCrashesKnown) {
+      continue;
+    }
+    const auto known = runs[kCrashesKnown - 1]->mAt + kStableTime;
     std::vector<const Run*> late;
     std::copy_if(runs.begin(), runs.end(), std::back_inserter(late), [&](const Run* aRun) {
       return aRun->mAt > known &&
@@ -521,7 +521,7 @@
     if (late.size() > kRunsAfterKnown) {
       Violate(result,
               late[kRunsAfterKnown]->mId,
-              "part " + part + " ran " + std::to_string(late.size()) +
+              "part " + part + " ended endpoints " + std::to_string(late.size()) +
                 " times after it was known, " + std::to_string(runs.size()) + " times in all");
     }
   }
--- a/standins/users_platform/UsersEndpointStandIn.h
+++ b/standins/users_platform/UsersEndpointStandIn.h
@@ -54,8 +54,8 @@
   void Run(Request& aRequest, Response& aResponse);
   void RunStream(Request& aRequest, Response& aResponse);
   void RecordDraining();
-  void RecordRun(const Request& aRequest, const std::string& aBody);
-  void CrashIfAsked(const Request& aRequest, const std::string& aBody) const;
+  void RecordRun(const Request& aRequest, const std::string& aBody, bool aIsCrash);
+  bool IsCrashAsked(const Request& aRequest, const std::string& aBody) const;
   void SetNoticeHeaders(Response& aResponse) const;
   void WaitWhileSilent() const;
   bool RefuseIfNotRunnable(const Request& aRequest, Response& aResponse);
