--- a/tests/skylarkchute_peers/FleetSimulation.cpp
+++ b/tests/skylarkchute_peers/FleetSimulation.cpp
@@ -74,6 +74,7 @@
   node.mIsRunning = true;
   node.mIsFrozen = false;
   node.mWatches = false;
+  mContent->OnStart(aIndex);
   const auto start = node.mStarts;
   At(milliseconds(mRandom() % 50), [this, aIndex, start] { Tick(aIndex, start); });
 }
@@ -169,6 +170,7 @@
     aNode.mWatches = false;
   }
   aNode.mMembers->SetRole(role);
+  mContent->OnTick(aIndex, aNode.mWatches && isServed);
 }
 
 bool FleetSimulation::IsDelivered(std::size_t aFrom, std::size_t aTo)
@@ -197,25 +199,28 @@
   }
   const auto request = from.mMembers->RequestFor(mNodes[aTo].mRecord.mName, mNow);
   const auto age = from.mFollowing->ConfirmationAge(mNow);
+  const auto text = mContent->Request(aFrom, aTo);
   if (!IsDelivered(aFrom, aTo)) {
     At(kCallTimeout, [aDone] { aDone(false); });
     return;
   }
-  At(kLatency, [this, aFrom, aTo, request, age, aDone] {
+  At(kLatency, [this, aFrom, aTo, request, age, text, aDone] {
     if (!mNodes[aTo].mIsRunning || mNodes[aTo].mIsFrozen) {
       At(kCallTimeout, [aDone] { aDone(false); });
       return;
     }
     Deliver(request, age, aTo);
     const auto response = mNodes[aTo].mMembers->ResponseFor(mNodes[aFrom].mRecord.mName, mNow);
+    const auto answer = mContent->Serve(aTo, aFrom, text);
     const auto responseAge = mNodes[aTo].mFollowing->ConfirmationAge(mNow);
     if (!IsDelivered(aTo, aFrom)) {
       At(kCallTimeout, [aDone] { aDone(false); });
       return;
     }
-    At(kLatency, [this, aFrom, response, responseAge, aDone] {
+    At(kLatency, [this, aFrom, aTo, response, responseAge, answer, aDone] {
       if (mNodes[aFrom].mIsRunning && !mNodes[aFrom].mIsFrozen) {
         Deliver(response, responseAge, aFrom);
+        mContent->OnAnswer(aFrom, aTo, answer);
         aDone(true);
       }
     });
--- a/tests/skylarkchute_peers/FleetSimulation.h
+++ b/tests/skylarkchute_peers/FleetSimulation.h
@@ -12,6 +12,34 @@
 
 namespace skylarkchute {
 
+/** What simulated instances do beside membership; by default nothing. */
+class SimulatedContent
+{
+public:
+  virtual ~SimulatedContent() = default;
+
+  /** A process has started. */
+  virtual void OnStart(std::size_t /*aIndex*/) {}
+
+  /** Called at each decision whether to follow the store.
+      @param aIsServed  the instance follows the store, which serves it */
+  virtual void OnTick(std::size_t /*aIndex*/, bool /*aIsServed*/) {}
+
+  /** Returns what an instance sends with a call. */
+  virtual std::string Request(std::size_t /*aFrom*/, std::size_t /*aTo*/) { return {}; }
+
+  /** Receives what came with a call, and returns what is sent with the answer. */
+  virtual std::string Serve(std::size_t /*aTo*/,
+                            std::size_t /*aFrom*/,
+                            const std::string& /*aText*/)
+  {
+    return {};
+  }
+
+  /** Receives what came with an answer. */
+  virtual void OnAnswer(std::size_t /*aTo*/, std::size_t /*aFrom*/, const std::string& /*aText*/) {}
+};
+
 /** Instances that exchange membership messages on a simulated clock, with faults by seed. Messages
     take a few milliseconds; a call that is lost fails after its timeout. A simulated store serves
     those that follow it. */
@@ -49,6 +77,30 @@
   /** Lets each instance also decide whether to follow the store. */
   void EnableFollowing() { mHasFollowing = true; }
 
+  /** Sets what the instances do beside membership; has to outlive the simulation. */
+  void SetContent(SimulatedContent& aContent) { mContent = &aContent; }
+
+  /** Lets an instance call another one. */
+  void Tell(std::size_t aFrom, std::size_t aTo)
+  {
+    Call(aFrom, aTo, [](bool) {});
+  }
+
+  /** Runs an action after a time. */
+  void At(std::chrono::milliseconds aDelay, std::function<void()> aAction);
+
+  /** Returns the simulated time. */
+  TimePoint Now() const { return mNow; }
+
+  /** Returns whether an instance's process runs and is not suspended. */
+  bool IsActive(std::size_t aIndex) const
+  {
+    return mNodes[aIndex].mIsRunning && !mNodes[aIndex].mIsFrozen;
+  }
+
+  /** Returns the index of an instance, or nothing if there is none of that name. */
+  std::optional<std::size_t> IndexOf(const std::string& aName) const;
+
   /** Returns whether all running instances consider exactly the running ones live. */
   bool IsAgreed() const;
 
@@ -96,7 +148,6 @@
     }
   };
 
-  void At(std::chrono::milliseconds aDelay, std::function<void()> aAction);
   void Tick(std::size_t aIndex, std::uint64_t aStart);
   void TickFollowing(Node& aNode, std::size_t aIndex);
   void Call(std::size_t aFrom, std::size_t aTo, std::function<void(bool)> aDone);
@@ -104,8 +155,9 @@
   void Deliver(const MembershipMessage& aMessage,
                std::optional<std::chrono::milliseconds> aAge,
                std::size_t aTo);
-  std::optional<std::size_t> IndexOf(const std::string& aName) const;
 
+  SimulatedContent mNoContent;
+  SimulatedContent* mContent = &mNoContent;
   std::vector<Node> mNodes;
   std::map<std::string, std::size_t> mIndices;
   std::vector<Event> mEvents; /**< A heap, earliest first. */
