--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -425,6 +425,7 @@
     return;
   }
   const auto age = std::chrono::duration_cast<milliseconds>(Now() - mPlan->mArrival);
+  const auto load = mEndpointHead.mLoad.value_or(ReportedLoad{});
   mContext.mLog.Write({ &kRelayAttemptFailed,
                         { { "request", mId },
                           { "route", mPlan->mRoute->mName },
@@ -432,6 +433,8 @@
                           { "version", mAttempt->mVersion },
                           { "outcome", std::string(RelayOutcomeName(aOutcome)) },
                           { "status", std::to_string(mEndpointHead.mStatus) },
+                          { "running", std::to_string(load.mRunning) },
+                          { "waiting", std::to_string(load.mWaiting) },
                           { "age_ms", std::to_string(age.count()) },
                           { "config", std::to_string(mPlan->mConfig->Config().mVersion) } } });
 }
