Revert "Rollouts bring one newer endpoint to a high load before the share grows"

Slow answers of the load trial's endpoint are not counted, and most answers of the newer version come from there.

--- a/modules/skylarkchute_relay/peers/PeerExchange.cpp
+++ b/modules/skylarkchute_relay/peers/PeerExchange.cpp
@@ -86,9 +86,6 @@
   value["instance"] = aEvidence.mInstance.Value();
   value["older"] = CountsToJson(aEvidence.mOlder);
   value["newer"] = CountsToJson(aEvidence.mNewer);
-  if (aEvidence.mLoaded.mAnswers > 0) {
-    value["loaded"] = CountsToJson(aEvidence.mLoaded);
-  }
   value["age_ms"] = Json::Int64(aEvidence.mAge.count());
   value["stopped"] = aEvidence.mIsStopped;
   for (const auto& it : aEvidence.mUses) {
@@ -120,7 +117,6 @@
            IncarnationId(JsonTextField(aValue, "instance")),
            CountsFromJson(aValue["older"]),
            CountsFromJson(aValue["newer"]),
-           CountsFromJson(aValue["loaded"]),
            std::chrono::milliseconds(JsonIntegerField(aValue, "age_ms")),
            JsonFlagField(aValue, "stopped"),
            UsesFromJson(aValue) };
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -222,7 +222,7 @@
     return Refuse(aPlan, RefusalReason::CrashesEndpoints, aNow);
   }
   auto rows = mEndpoints.OpenRows(aPlan.mService);
-  mRollouts.SelectVersion(aPlan.mService, aPlan.mSession, aPlan.mTried, rows, aNow);
+  mRollouts.SelectVersion(aPlan.mService, aPlan.mSession, rows, aNow);
   auto permitted = rows;
   std::erase_if(permitted, [&](FleetRow* aRow) { return !aRow->mNotices.Allows(aNow); });
   if (permitted.empty() && !rows.empty()) {
@@ -270,10 +270,9 @@
   mRollouts.OnSent(aPlan.mService, aAttempt.mVersion, aPlan.mSession, aNow);
   const auto* order = mRollouts.Order(aPlan.mService);
   if (order != nullptr && order->mState == RolloutState::Running) {
-    const bool isLoaded = mRollouts.IsLoadTrialAt(
-      aPlan.mService, aAttempt.mEndpoint, mEndpoints.OpenRows(aPlan.mService), aNow);
-    mAwaited[aAttempt.mNumber] = { aPlan.mService, aAttempt.mVersion, aAttempt.mLatencyKind,
-                                   aNow,           isLoaded,          false };
+    mAwaited[aAttempt.mNumber] = {
+      aPlan.mService, aAttempt.mVersion, aAttempt.mLatencyKind, aNow, false
+    };
   }
 }
 
@@ -282,7 +281,7 @@
 {
   for (auto& [number, answer] : mAwaited) {
     const auto age = std::chrono::duration_cast<std::chrono::microseconds>(aNow - answer.mSentAt);
-    if (!answer.mIsCounted && !answer.mIsLoaded &&
+    if (!answer.mIsCounted &&
         mLatencies.RelativeLatency(answer.mLatencyKind, age) > kSlowLatencyFactor) {
       answer.mIsCounted = true;
       mRollouts.OnAnswer(answer.mService, answer.mVersion, { 1, 0, 1 });
@@ -290,11 +289,12 @@
   }
 }
 
-/** Ends the wait for an answer, and returns what was known of it. */
-FleetRouter::AwaitedAnswer FleetRouter::EndWait(const AttemptPlan& aAttempt)
+/** Ends the wait for an answer.
+    @returns whether it was counted as a slow one */
+bool FleetRouter::EndWait(const AttemptPlan& aAttempt)
 {
   const auto found = mAwaited.extract(aAttempt.mNumber);
-  return found.empty() ? AwaitedAnswer{} : found.mapped();
+  return !found.empty() && found.mapped().mIsCounted;
 }
 
 void FleetRouter::OnFirstByte(const RequestPlan& aPlan,
@@ -312,10 +312,9 @@
   if (!isTarget) {
     mLatencies.Record(aAttempt.mLatencyKind, aLatency);
   }
-  const auto awaited = EndWait(aAttempt);
-  const std::uint64_t slow = !awaited.mIsLoaded && relative > kSlowLatencyFactor ? 1 : 0;
-  if (!awaited.mIsCounted) {
-    mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 0, slow }, awaited.mIsLoaded);
+  const std::uint64_t slow = relative > kSlowLatencyFactor ? 1 : 0;
+  if (!EndWait(aAttempt)) {
+    mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 0, slow });
   }
 }
 
@@ -367,7 +366,7 @@
   if (MayHaveRun(aOutcome)) {
     ++aPlan.mRuns;
   }
-  const auto awaited = EndWait(aAttempt);
+  const bool wasCountedSlow = EndWait(aAttempt);
   if (aOutcome != RelayOutcome::Answered && aOutcome != RelayOutcome::Abandoned) {
     aPlan.mTried.push_back(aAttempt.mEndpoint);
   }
@@ -384,7 +383,7 @@
     case RelayOutcome::Misdirected:
       return;
     case RelayOutcome::Failed:
-      mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 1, 0 }, awaited.mIsLoaded);
+      mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 1, 0 });
       break;
     case RelayOutcome::Unreachable:
       if (row != nullptr) {
@@ -393,7 +392,7 @@
       return;
     case RelayOutcome::TimedOut:
       // Otherwise only the answers that were quick enough would count.
-      if (!awaited.mIsCounted && !awaited.mIsLoaded) {
+      if (!wasCountedSlow) {
         mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 0, 1 });
       }
       break;
--- a/modules/skylarkchute_routing/fleet/FleetRouter.h
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.h
@@ -126,7 +126,6 @@
     std::string mVersion;
     LatencyKind mLatencyKind;
     TimePoint mSentAt{};
-    bool mIsLoaded = false;  /**< Its endpoint was in a load trial. */
     bool mIsCounted = false; /**< As a slow answer. */
   };
 
@@ -140,7 +139,7 @@
   SizeInputs SizeInputsOf(const RequestPlan& aPlan, std::uint32_t aRuns, TimePoint aNow) const;
   RelayRefusal Refuse(const RequestPlan& aPlan, RefusalReason aReason, TimePoint aNow) const;
   void CountOverdueAnswers(TimePoint aNow);
-  AwaitedAnswer EndWait(const AttemptPlan& aAttempt);
+  bool EndWait(const AttemptPlan& aAttempt);
   AttemptPlan PlanFor(const RequestPlan& aPlan, const FleetRow& aRow, TimePoint aNow);
 
   ZoneName mZone;
--- a/modules/skylarkchute_routing/fleet/RolloutEvaluator.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutEvaluator.cpp
@@ -81,15 +81,4 @@
     mIsBad || mFailures.LogEvidence() >= kBadLogEvidence || mSlow.LogEvidence() >= kBadLogEvidence;
 }
 
-void RolloutEvaluator::AddLoaded(const VersionCounts& aCounts)
-{
-  if (aCounts.mAnswers == 0) {
-    return;
-  }
-  mLoadedFailures.Add(aCounts.mAnswers,
-                      aCounts.mFailures,
-                      { HealthyBoundOf(mFailureBaseline, kMinFailureBound), kFailureIncrease });
-  mIsBad = mIsBad || mLoadedFailures.LogEvidence() >= kBadLogEvidence;
-}
-
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/fleet/RolloutEvaluator.h
+++ b/modules/skylarkchute_routing/fleet/RolloutEvaluator.h
@@ -23,10 +23,9 @@
 
     Detects a version that fails or slows down some of its requests, immediately or later. Two
     sequential tests, which may be read after every answer, compare its rates of failures and of
-    slow answers with those of the older version. A third one looks at failures under load only.
-    Once the older version no longer answers, a comparison cannot distinguish a slow version from a
-    load that slows down every version; from then on, most answers must be slow for the version to
-    be bad. */
+    slow answers with those of the older version. Once the older version no longer answers, a
+    comparison cannot distinguish a slow version from a load that slows down every version; from
+    then on, most answers must be slow for the version to be bad. */
 class RolloutEvaluator
 {
 public:
@@ -36,10 +35,6 @@
   /** Adds answers of the newer version. */
   void AddNewer(const VersionCounts& aCounts);
 
-  /** Adds answers of the newer version from the endpoint of the load trial. They are counted by
-      AddNewer() as well, but in the mean over all endpoints failures under load may not show. */
-  void AddLoaded(const VersionCounts& aCounts);
-
   /** Returns whether the newer version is bad. Stays true once set. */
   bool IsBad() const { return mIsBad; }
 
@@ -51,7 +46,6 @@
   RateBaseline mSlowBaseline;
   SequentialTest mFailures;
   SequentialTest mSlow;
-  SequentialTest mLoadedFailures;
   std::uint64_t mNewerAnswers = 0;
   std::uint64_t mNewerSinceOlder = 0; /**< Newer answers since the last one of the older version. */
   bool mIsBad = false;
--- a/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
@@ -9,8 +9,8 @@
 
 /** Fractions of a rollout's period at which its phases begin. Sessions may move after the first
     half. The last phase leaves time for answers in progress before the older endpoints stop. */
-constexpr double kSessionMoveStart = 0.51; /**< Subjects in use may move; load trial. */
-constexpr double kRampStart = 0.6;         /**< The share grows from the canary share to 1. */
+constexpr double kSessionMoveStart = 0.51; /**< Subjects in use may move. */
+constexpr double kRampStart = 0.55;        /**< The share grows from the canary share to 1. */
 constexpr double kFullShareStart = 0.75;   /**< All requests use the newer version. */
 constexpr double kCompletionStart = 0.88;  /**< The rollout may be completed. */
 
@@ -25,19 +25,6 @@
     version has not returned kMinAnswers yet. The exposure limit still applies. */
 constexpr double kLowTrafficCanaryShare = 0.5;
 
-/** Largest share of the subjects that the load trial may move, if fewer do not bring its endpoint
-    to kTrialUtilization. */
-constexpr double kLoadTrialShare = 0.45;
-
-/** Load of the load trial's endpoint, relative to its slots. */
-constexpr double kTrialUtilization = 0.7;
-
-/** Waiting requests, relative to the slots, from which the load trial's endpoint gets no more. */
-constexpr double kMaxTrialWaiting = 0.15;
-
-/** Requests that were waiting longer ago than this no longer count for the load trial. */
-constexpr std::chrono::milliseconds kTrialReportLifetime{ 400 };
-
 /** Fraction that one instance uses of its share of the exposure limit, because requests that other
     instances are about to send are not counted yet. */
 constexpr double kUsableExposure = 0.75;
@@ -98,21 +85,6 @@
   aRows.resize(most);
 }
 
-/** Returns the newer endpoint of the load trial, the same one on all instances, or null. */
-FleetRow* FindTrialEndpoint(const std::vector<FleetRow*>& aRows, const std::string& aVersion)
-{
-  FleetRow* found = nullptr;
-  std::uint64_t lowest = 0;
-  for (auto* it : aRows) {
-    const auto rank = StableHash(it->mEntry.mId.Value());
-    if (it->mEntry.mVersion == aVersion && (found == nullptr || rank < lowest)) {
-      found = it;
-      lowest = rank;
-    }
-  }
-  return found;
-}
-
 } // namespace
 
 // Defined out of line: std::optional<Rollout> is used before the enclosing class is complete.
@@ -190,54 +162,9 @@
          kUsableExposure * (share * static_cast<double>(aRollout.mSent) + slack);
 }
 
-bool RolloutTracker::IsInLoadTrial(const Rollout& aRollout, TimePoint aNow) const
-{
-  const double progress = Progress(aRollout, aNow);
-  return aRollout.mOrder.mState == RolloutState::Running && !aRollout.mIsStopped &&
-         progress >= kSessionMoveStart && progress < kFullShareStart;
-}
-
-/** Returns the endpoint that the load trial is still to bring to its load, or null. */
-FleetRow* RolloutTracker::EndpointToLoad(const Rollout& aRollout,
-                                         const std::vector<FleetRow*>& aRows,
-                                         TimePoint aNow) const
-{
-  if (!IsInLoadTrial(aRollout, aNow)) {
-    return nullptr;
-  }
-  auto* row = FindTrialEndpoint(aRows, aRollout.mOrder.mTarget);
-  if (row == nullptr || !row->mHealth.Allows(aNow) || !row->mNotices.Allows(aNow)) {
-    return nullptr;
-  }
-  const bool isRecent = aNow - row->mReportedAt < kTrialReportLifetime;
-  const double waiting = isRecent ? row->mReport.mWaiting : 0;
-  const double running = row->EstimatedLoad(aNow) - waiting;
-  // The other instances have probably sent as many since the last report.
-  const double added = row->mOutstanding - std::min(row->mOutstanding, row->mOutstandingAtReport);
-  const double slots = row->mEntry.mSlots;
-  const bool hasLongQueue =
-    waiting + added * static_cast<double>(mInstances) >= std::max(kMaxTrialWaiting * slots, 1.0);
-  return running < kTrialUtilization * slots && !hasLongQueue ? row : nullptr;
-}
-
-bool RolloutTracker::IsLoadTrialAt(const ServiceName& aService,
-                                   const EndpointId& aEndpoint,
-                                   const std::vector<FleetRow*>& aRows,
-                                   TimePoint aNow) const
-{
-  const auto service = mServices.find(aService);
-  if (service == mServices.end() || !service->second.mRollout ||
-      !IsInLoadTrial(*service->second.mRollout, aNow)) {
-    return false;
-  }
-  const auto* row = FindTrialEndpoint(aRows, service->second.mRollout->mOrder.mTarget);
-  return row != nullptr && row->mEntry.mId == aEndpoint;
-}
-
 bool RolloutTracker::SelectsNewer(const Rollout& aRollout,
                                   std::uint64_t aSubject,
                                   bool aHasSubject,
-                                  bool aMayAddLoad,
                                   TimePoint aNow) const
 {
   const auto& target = aRollout.mOrder.mTarget;
@@ -258,9 +185,6 @@
     const double part = (progress - kRampStart) / (kFullShareStart - kRampStart);
     return moveOrder < CanaryShare() + (1 - CanaryShare()) * part;
   }
-  if (aMayAddLoad && moveOrder < kLoadTrialShare && MayExpose(aRollout, mBound.mShare)) {
-    return true;
-  }
   const bool hasLowTraffic = progress >= kSessionMoveStart && !hasEvidence;
   if (moveOrder >= (hasLowTraffic ? kLowTrafficCanaryShare : CanaryShare()) ||
       !MayExpose(aRollout, kCanaryShare)) {
@@ -277,7 +201,6 @@
 
 void RolloutTracker::SelectVersion(const ServiceName& aService,
                                    const std::string& aKey,
-                                   const std::vector<EndpointId>& aTried,
                                    std::vector<FleetRow*>& aOpen,
                                    TimePoint aNow)
 {
@@ -296,15 +219,9 @@
     const double progress = Progress(*rollout, aNow);
     const auto subject =
       aKey.empty() ? StableHash({}, ++mSubjectlessRequests) : SubjectOf(aService, aKey);
-    auto* toLoad = hasOlder ? EndpointToLoad(*rollout, aOpen, aNow) : nullptr;
-    if (!hasOlder || SelectsNewer(*rollout, subject, !aKey.empty(), toLoad != nullptr, aNow)) {
+    if (!hasOlder || SelectsNewer(*rollout, subject, !aKey.empty(), aNow)) {
       KeepVersion(aOpen, rollout->mOrder.mTarget);
-      const bool wasTried =
-        toLoad != nullptr &&
-        std::find(aTried.begin(), aTried.end(), toLoad->mEntry.mId) != aTried.end();
-      if (toLoad != nullptr && !wasTried) {
-        aOpen.assign(1, toLoad);
-      } else if (hasOlder && progress < kSessionMoveStart) {
+      if (hasOlder && progress < kRampStart) {
         KeepCanaryEndpoints(aOpen, CanaryShare());
       }
       return;
@@ -332,8 +249,7 @@
 
 void RolloutTracker::OnAnswer(const ServiceName& aService,
                               const std::string& aVersion,
-                              const VersionCounts& aCounts,
-                              bool aIsLoaded)
+                              const VersionCounts& aCounts)
 {
   auto& rollout = mServices[aService].mRollout;
   if (!rollout || rollout->mOrder.mState != RolloutState::Running) {
@@ -342,10 +258,6 @@
   if (aVersion == rollout->mOrder.mTarget) {
     rollout->mNewer += aCounts;
     rollout->mEvaluator.AddNewer(aCounts);
-    if (aIsLoaded) {
-      rollout->mLoaded += aCounts;
-      rollout->mEvaluator.AddLoaded(aCounts);
-    }
     if (rollout->mEvaluator.IsBad()) {
       Stop(*rollout);
     }
@@ -370,11 +282,9 @@
     auto& peer = rollout.mPeers[aEvidence.mInstance];
     auto& known = peer.mEvidence;
     if (aEvidence.mOlder.mAnswers >= known.mOlder.mAnswers &&
-        aEvidence.mNewer.mAnswers >= known.mNewer.mAnswers &&
-        aEvidence.mLoaded.mAnswers >= known.mLoaded.mAnswers) {
+        aEvidence.mNewer.mAnswers >= known.mNewer.mAnswers) {
       rollout.mEvaluator.AddOlder(aEvidence.mOlder - known.mOlder);
       rollout.mEvaluator.AddNewer(aEvidence.mNewer - known.mNewer);
-      rollout.mEvaluator.AddLoaded(aEvidence.mLoaded - known.mLoaded);
       if (known.mOlder != aEvidence.mOlder || known.mNewer != aEvidence.mNewer) {
         peer.mChanged = aNow;
       }
@@ -401,7 +311,6 @@
                     mSelf,
                     rollout.mOlder,
                     rollout.mNewer,
-                    rollout.mLoaded,
                     age,
                     rollout.mIsStopped,
                     UsesInCanary(rollout, aNow) });
--- a/modules/skylarkchute_routing/fleet/RolloutTracker.h
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.h
@@ -33,7 +33,6 @@
   IncarnationId mInstance;
   VersionCounts mOlder;
   VersionCounts mNewer;
-  VersionCounts mLoaded;               /**< Part of mNewer, from the endpoint of the load trial. */
   std::chrono::milliseconds mAge{ 0 }; /**< Time since the order, as known to the instance. */
   bool mIsStopped = false;             /**< An instance found the version to be bad. */
   std::vector<SubjectUse> mUses;       /**< Uses known to the sender, on any instance. */
@@ -60,12 +59,10 @@
     Limits the damage of a version that turns bad during its rollout. Each instance enforces its
     part of the exposure limit on its own. At first, a small canary share of the requests goes to a
     few endpoints of the newer version, so that these run at the load that they will have after the
-    rollout. Once sessions may move, the load trial brings one endpoint to a high load relative to
-    its slots, because some versions fail only under load. The evidence of all instances is
-    pooled, and any instance stops the version at once. In the first half of the rollout, subjects
-    stay on their version; only subjects that no instance has seen for a session lifetime move. In
-    the last part all requests move, so that nothing is running on the older endpoints when they
-    stop. */
+    rollout. The evidence of all instances is pooled, and any instance stops the version at once. In
+    the first half of the rollout, subjects stay on their version; only subjects that no instance
+    has seen for a session lifetime move. In the last part all requests move, so that nothing is
+    running on the older endpoints when they stop. */
 class RolloutTracker
 {
 public:
@@ -85,12 +82,10 @@
   void OnOrder(const RolloutOrder& aOrder, TimePoint aNow, std::chrono::milliseconds aAge);
 
   /** Selects the version for a request and keeps only the endpoints that may serve it.
-      @param aKey    subject of the request; may be empty
-      @param aTried  endpoints that failed to serve the request
-      @param aOpen   open endpoints of the service; reduced to those of the selected version */
+      @param aKey   subject of the request; may be empty
+      @param aOpen  open endpoints of the service; reduced to those of the selected version */
   void SelectVersion(const ServiceName& aService,
                      const std::string& aKey,
-                     const std::vector<EndpointId>& aTried,
                      std::vector<FleetRow*>& aOpen,
                      TimePoint aNow);
 
@@ -100,20 +95,10 @@
               const std::string& aKey,
               TimePoint aNow);
 
-  /** Returns whether an endpoint is in a load trial. The latency of its answers then cannot be
-      compared with that of endpoints with less load; its failures can.
-      @param aRows  open endpoints of the service */
-  bool IsLoadTrialAt(const ServiceName& aService,
-                     const EndpointId& aEndpoint,
-                     const std::vector<FleetRow*>& aRows,
-                     TimePoint aNow) const;
-
-  /** Counts answers of a version of a service.
-      @param aIsLoaded  whether they come from the endpoint of a load trial */
+  /** Counts answers of a version of a service. */
   void OnAnswer(const ServiceName& aService,
                 const std::string& aVersion,
-                const VersionCounts& aCounts,
-                bool aIsLoaded = false);
+                const VersionCounts& aCounts);
 
   /** Merges the counts of another instance. Counts lower than the known ones are ignored.
       @returns whether this stopped the version */
@@ -157,9 +142,8 @@
     TimePoint mStart{};
     bool mIsStopped = false;
     RolloutEvaluator mEvaluator;
-    VersionCounts mOlder;  /**< Answers seen by this instance. */
-    VersionCounts mNewer;  /**< Answers seen by this instance. */
-    VersionCounts mLoaded; /**< Part of mNewer, from the endpoint of the load trial. */
+    VersionCounts mOlder; /**< Answers seen by this instance. */
+    VersionCounts mNewer; /**< Answers seen by this instance. */
     std::map<IncarnationId, PeerEvidence> mPeers;
     std::uint64_t mSent = 0; /**< Requests sent by this instance since the order. */
     std::uint64_t mSentToNewer = 0;
@@ -181,14 +165,9 @@
   double Progress(const Rollout& aRollout, TimePoint aNow) const;
   double CanaryShare() const;
   bool MayExpose(const Rollout& aRollout, double aShare) const;
-  bool IsInLoadTrial(const Rollout& aRollout, TimePoint aNow) const;
-  FleetRow* EndpointToLoad(const Rollout& aRollout,
-                           const std::vector<FleetRow*>& aRows,
-                           TimePoint aNow) const;
   bool SelectsNewer(const Rollout& aRollout,
                     std::uint64_t aSubject,
                     bool aHasSubject,
-                    bool aMayAddLoad,
                     TimePoint aNow) const;
   std::vector<SubjectUse> UsesInCanary(const Rollout& aRollout, TimePoint aNow) const;
   void MergeUses(const Rollout& aRollout,
--- a/tests/skylarkchute_routing/RolloutFleetTests.cpp
+++ b/tests/skylarkchute_routing/RolloutFleetTests.cpp
@@ -100,7 +100,7 @@
     auto& tracker = *mTrackers[mRandom() % mTrackers.size()];
     const auto key = "s" + std::to_string(aSubject);
     std::vector<FleetRow*> rows{ &mOlder, &mNewer };
-    tracker.SelectVersion(kService, key, {}, rows, mNow);
+    tracker.SelectVersion(kService, key, rows, mNow);
     REQUIRE_FALSE(rows.empty());
     const auto version = rows.front()->mEntry.mVersion;
     tracker.OnSent(kService, version, key, mNow);
