A version that fails for one class of requests is found by class

Cause: RolloutEvaluator added all answers up. The idempotent class fails by itself in one of seven answers, in clusters; that raised the bound for the other class, which failed at the older version once and at the newer one in half of its answers. Class of fault: a sum that hides its parts.

Change: versions are compared in sum and by class of requests (routes that the operator declares alike; at most eight entries, merged exactly between instances). Half of a rollout's false alarms are left to the sum, half are split over the classes. Why it works: a class that never failed and now fails in half is proof after some 12 answers, whatever the other classes do.

--- a/modules/skylarkchute_relay/peers/PeerExchange.cpp
+++ b/modules/skylarkchute_relay/peers/PeerExchange.cpp
@@ -78,14 +78,39 @@
   };
 }
 
+Json::Value ClassCountsToJson(const ClassCounts& aClasses)
+{
+  Json::Value value(Json::arrayValue);
+  for (const auto& [routeClass, counts] : aClasses) {
+    Json::Value entry(Json::arrayValue);
+    entry.append(static_cast<std::uint32_t>(routeClass));
+    entry.append(CountsToJson(counts.mOlder));
+    entry.append(CountsToJson(counts.mNewer));
+    value.append(entry);
+  }
+  return value;
+}
+
+ClassCounts ClassCountsFromJson(const Json::Value& aValue)
+{
+  ClassCounts classes;
+  for (const auto& it : JsonArrayField(aValue, "classes")) {
+    if (it.isArray() && it.size() == 3 && it[0].isUInt() && classes.size() < kMaxComparedClasses) {
+      classes[RouteClass{ it[0].asUInt() }] = { CountsFromJson(it[1]), CountsFromJson(it[2]) };
+    }
+  }
+  return classes;
+}
+
 Json::Value EvidenceToJson(const RolloutEvidence& aEvidence)
 {
   Json::Value value(Json::objectValue);
   value["service"] = aEvidence.mService.Value();
   value["target"] = aEvidence.mTarget;
   value["instance"] = aEvidence.mInstance.Value();
-  value["older"] = CountsToJson(aEvidence.mOlder);
-  value["newer"] = CountsToJson(aEvidence.mNewer);
+  value["older"] = CountsToJson(aEvidence.mSum.mOlder);
+  value["newer"] = CountsToJson(aEvidence.mSum.mNewer);
+  value["classes"] = ClassCountsToJson(aEvidence.mClasses);
   value["age_ms"] = Json::Int64(aEvidence.mAge.count());
   value["stopped"] = aEvidence.mIsStopped;
   for (const auto& it : aEvidence.mUses) {
@@ -143,8 +168,8 @@
   return { ServiceName(JsonTextField(aValue, "service")),
            JsonTextField(aValue, "target"),
            IncarnationId(JsonTextField(aValue, "instance")),
-           CountsFromJson(aValue["older"]),
-           CountsFromJson(aValue["newer"]),
+           { CountsFromJson(aValue["older"]), CountsFromJson(aValue["newer"]) },
+           ClassCountsFromJson(aValue),
            std::chrono::milliseconds(JsonIntegerField(aValue, "age_ms")),
            JsonFlagField(aValue, "stopped"),
            UsesFromJson(aValue) };
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -295,7 +295,7 @@
   const auto* order = mRollouts.Order(aPlan.mService);
   if (order != nullptr && order->mState == RolloutState::Running) {
     mAwaited[aAttempt.mNumber] = {
-      aPlan.mService, aAttempt.mVersion, aAttempt.mLatencyKind, aNow, false
+      aPlan.mService, aAttempt.mVersion, aPlan.mRoute->Class(), aAttempt.mLatencyKind, aNow, false
     };
   }
 }
@@ -308,7 +308,7 @@
     if (!answer.mIsCounted &&
         mLatencies.RelativeLatency(answer.mLatencyKind, age) > kSlowLatencyFactor) {
       answer.mIsCounted = true;
-      mRollouts.OnAnswer(answer.mService, answer.mVersion, { 1, 0, 1 });
+      mRollouts.OnAnswer(answer.mService, answer.mVersion, answer.mClass, { 1, 0, 1 });
     }
   }
 }
@@ -338,7 +338,7 @@
   }
   const std::uint64_t slow = relative > kSlowLatencyFactor ? 1 : 0;
   if (!EndWait(aAttempt)) {
-    mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 0, slow });
+    mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, aPlan.mRoute->Class(), { 1, 0, slow });
   }
 }
 
@@ -443,7 +443,7 @@
     case RelayOutcome::Misdirected:
       return;
     case RelayOutcome::Failed:
-      mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 1, 0 });
+      mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, aPlan.mRoute->Class(), { 1, 1, 0 });
       break;
     case RelayOutcome::Unreachable:
       if (row != nullptr) {
@@ -453,7 +453,7 @@
     case RelayOutcome::TimedOut:
       // Otherwise only the answers that were quick enough would count.
       if (!wasCountedSlow) {
-        mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, { 1, 0, 1 });
+        mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, aPlan.mRoute->Class(), { 1, 0, 1 });
       }
       break;
     case RelayOutcome::Lost:
--- a/modules/skylarkchute_routing/fleet/FleetRouter.h
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.h
@@ -150,6 +150,7 @@
   {
     ServiceName mService;
     std::string mVersion;
+    RouteClass mClass{};
     LatencyKind mLatencyKind;
     TimePoint mSentAt{};
     bool mIsCounted = false; /**< As a slow answer. */
--- a/modules/skylarkchute_routing/fleet/RelayConfig.cpp
+++ b/modules/skylarkchute_routing/fleet/RelayConfig.cpp
@@ -18,6 +18,16 @@
 
 } // namespace
 
+RouteClass RelayRoute::Class() const
+{
+  auto hash = StableHash(std::to_string(static_cast<int>(mKind)) + '/' + std::to_string(mPriority) +
+                         '/' + std::to_string(mTargetLatency.count()));
+  for (const auto& it : mSizes) {
+    hash = StableHash(it.Value(), hash);
+  }
+  return RouteClass{ static_cast<std::uint32_t>(hash) | 1U };
+}
+
 ConfigIndex::ConfigIndex(RelayConfig aConfig) : mConfig(std::move(aConfig))
 {
   for (const auto& it : mConfig.mRoutes) {
--- a/modules/skylarkchute_routing/fleet/RelayConfig.h
+++ b/modules/skylarkchute_routing/fleet/RelayConfig.h
@@ -20,6 +20,11 @@
   Stream,
 };
 
+/** Identifies a class of requests. @see RelayRoute::Class */
+enum class RouteClass : std::uint32_t
+{
+};
+
 /** One of the services among which a route distributes its requests, by weight. */
 struct RouteTarget
 {
@@ -49,6 +54,10 @@
   {
     return mKind == RequestKind::Idempotent || (mKind == RequestKind::Stream && mResumable);
   }
+
+  /** Returns the class of the route's requests: routes that the operator declares alike, with the
+      same kind, priority, target latency and models, share one, on all instances. Never zero. */
+  RouteClass Class() const;
 };
 
 /** A model that the endpoints of a service host. */
--- a/modules/skylarkchute_routing/fleet/RolloutEvaluator.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutEvaluator.cpp
@@ -1,84 +1,43 @@
 #include "RolloutEvaluator.h"
 
-#include <algorithm>
-
 namespace skylarkchute {
 
 namespace {
 
 /** Natural logarithm of the evidence from which a version is bad. A healthy version is misjudged
-    once in 2000 rollouts per test. */
-constexpr double kBadLogEvidence = 7.6;
-
-/** Failure rates up to this count as healthy. */
-constexpr double kMinFailureBound = 0.03;
-
-/** Rates of slow answers up to this count as healthy, because the latency tail of a healthy version
-    is slow as well. */
-constexpr double kMinSlowBound = 0.12;
-
-/** Rates of slow answers up to this are attributed to load while the older version returns no
-    answers, which is assumed after kStaleBaselineAnswers consecutive answers of the newer one. Bad
-    versions are several times slower, so that nearly all their answers are slow. */
-constexpr double kStaleBaselineSlowBound = 0.5;
-constexpr std::uint64_t kStaleBaselineAnswers = 50;
-
-/** Upper limit of the healthy rate, which applies before the older version has answered. */
-constexpr double kMaxBound = 0.6;
-
-/** Smallest rises above the healthy rate that the tests look for. */
-constexpr double kFailureIncrease = 0.08;
-constexpr double kSlowIncrease = 0.15;
-
-double HealthyBoundOf(const RateBaseline& aBaseline, double aMin)
-{
-  return std::clamp(aBaseline.UpperBound(), aMin, kMaxBound);
-}
+    once in 1000 rollouts: half of that is left to the two tests of the sum, the other half is split
+    over those of the classes, kOtherClasses among them. */
+constexpr double kBadLogEvidenceOfSum = 8.3;
+constexpr double kBadLogEvidenceOfClass = 10.4;
 
 } // namespace
 
-VersionCounts& VersionCounts::operator+=(const VersionCounts& aOther)
+ComparedCounts& ComparedCounts::operator+=(const ComparedCounts& aOther)
 {
-  mAnswers += aOther.mAnswers;
-  mFailures += aOther.mFailures;
-  mSlow += aOther.mSlow;
+  mOlder += aOther.mOlder;
+  mNewer += aOther.mNewer;
   return *this;
 }
 
-VersionCounts operator-(const VersionCounts& aLeft, const VersionCounts& aRight)
+ComparedCounts operator-(const ComparedCounts& aLeft, const ComparedCounts& aRight)
 {
-  return { aLeft.mAnswers - aRight.mAnswers,
-           aLeft.mFailures - aRight.mFailures,
-           aLeft.mSlow - aRight.mSlow };
+  return { aLeft.mOlder - aRight.mOlder, aLeft.mNewer - aRight.mNewer };
 }
 
-void RolloutEvaluator::AddOlder(const VersionCounts& aCounts)
+void RolloutEvaluator::AddToSum(const ComparedCounts& aCounts)
 {
-  if (aCounts.mAnswers == 0) {
-    return;
-  }
-  mNewerSinceOlder = 0;
-  mFailureBaseline.Add(aCounts.mAnswers, aCounts.mFailures);
-  mSlowBaseline.Add(aCounts.mAnswers, aCounts.mSlow);
+  mSum.AddOlder(aCounts.mOlder);
+  mSum.AddNewer(aCounts.mNewer);
+  mNewerAnswers += aCounts.mNewer.mAnswers;
+  mIsBad = mIsBad || mSum.LogEvidence() >= kBadLogEvidenceOfSum;
 }
 
-void RolloutEvaluator::AddNewer(const VersionCounts& aCounts)
+void RolloutEvaluator::AddToClass(RouteClass aClass, const ComparedCounts& aCounts)
 {
-  if (aCounts.mAnswers == 0) {
-    return;
-  }
-  mNewerAnswers += aCounts.mAnswers;
-  mFailures.Add(aCounts.mAnswers,
-                aCounts.mFailures,
-                { HealthyBoundOf(mFailureBaseline, kMinFailureBound), kFailureIncrease });
-  mNewerSinceOlder += aCounts.mAnswers;
-  const double minSlowBound =
-    mNewerSinceOlder > kStaleBaselineAnswers ? kStaleBaselineSlowBound : kMinSlowBound;
-  mSlow.Add(aCounts.mAnswers,
-            aCounts.mSlow,
-            { HealthyBoundOf(mSlowBaseline, minSlowBound), kSlowIncrease });
-  mIsBad =
-    mIsBad || mFailures.LogEvidence() >= kBadLogEvidence || mSlow.LogEvidence() >= kBadLogEvidence;
+  auto& comparison = EntryOfClass(mClasses, aClass);
+  comparison.AddOlder(aCounts.mOlder);
+  comparison.AddNewer(aCounts.mNewer);
+  mIsBad = mIsBad || comparison.LogEvidence() >= kBadLogEvidenceOfClass;
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_routing/fleet/RolloutEvaluator.h
+++ b/modules/skylarkchute_routing/fleet/RolloutEvaluator.h
@@ -1,39 +1,63 @@
 #pragma once
 
-#include "../policy/health/RateBaseline.h"
-#include "../policy/health/SequentialTest.h"
+#include "RelayConfig.h"
+#include "VersionComparison.h"
 
-#include <cstdint>
+#include <map>
 
 namespace skylarkchute {
 
-/** Answer counts of one version. */
-struct VersionCounts
+/** Answer counts of both versions of a rollout. */
+struct ComparedCounts
 {
-  std::uint64_t mAnswers = 0;
-  std::uint64_t mFailures = 0; /**< Answers in which the endpoint itself reported a failure. */
-  std::uint64_t mSlow = 0;     /**< Answers several times slower than usual, or given up. */
+  VersionCounts mOlder;
+  VersionCounts mNewer;
 
-  VersionCounts& operator+=(const VersionCounts& aOther);
-  friend VersionCounts operator-(const VersionCounts& aLeft, const VersionCounts& aRight);
-  friend bool operator==(const VersionCounts&, const VersionCounts&) = default;
+  ComparedCounts& operator+=(const ComparedCounts& aOther);
+  friend ComparedCounts operator-(const ComparedCounts& aLeft, const ComparedCounts& aRight);
+  friend bool operator==(const ComparedCounts&, const ComparedCounts&) = default;
+
+  /** Returns whether none of the counts is lower than that of @p aOther. */
+  bool Includes(const ComparedCounts& aOther) const
+  {
+    return mOlder.Includes(aOther.mOlder) && mNewer.Includes(aOther.mNewer);
+  }
 };
 
+/** Counts by class of request. At most kMaxComparedClasses entries; classes for which there is no
+    room share the entry kOtherClasses. */
+using ClassCounts = std::map<RouteClass, ComparedCounts>;
+
+inline constexpr std::size_t kMaxComparedClasses = 8;
+inline constexpr RouteClass kOtherClasses{ 0 };
+
+/** Returns the entry of a class, or that of the other classes when there is no room for one more.
+    The same class always has the same entry, because none is removed. */
+template<typename Map>
+typename Map::mapped_type& EntryOfClass(Map& aMap, RouteClass aClass)
+{
+  const auto found = aMap.find(aClass);
+  if (found != aMap.end()) {
+    return found->second;
+  }
+  return aMap[aMap.size() + 1 < kMaxComparedClasses ? aClass : kOtherClasses];
+}
+
 /** Decides from the answers of all instances whether a version is worse than the one it replaces.
 
-    Detects a version that fails or slows down some of its requests, immediately or later. Two
-    sequential tests, which may be read after every answer, compare its rates of failures and of
-    slow answers with those of the older version. Once the older version no longer answers, a
-    comparison cannot distinguish a slow version from a load that slows down every version; from
-    then on, most answers must be slow for the version to be bad. */
+    Detects a version that fails or slows down some of its requests, immediately or later, also if
+    it does so for one class only. Classes are compared one by one, because the failures that are
+    usual in one class would hide those of another in the sum, and in sum, because a class may have
+    few answers. */
 class RolloutEvaluator
 {
 public:
-  /** Adds answers of the older version. */
-  void AddOlder(const VersionCounts& aCounts);
+  /** Adds answers of both versions to the sum over all classes. Those of the older version count
+      first. */
+  void AddToSum(const ComparedCounts& aCounts);
 
-  /** Adds answers of the newer version. */
-  void AddNewer(const VersionCounts& aCounts);
+  /** Adds answers of both versions to a class. Those of the older version count first. */
+  void AddToClass(RouteClass aClass, const ComparedCounts& aCounts);
 
   /** Returns whether the newer version is bad. Stays true once set. */
   bool IsBad() const { return mIsBad; }
@@ -42,12 +66,9 @@
   std::uint64_t NewerAnswers() const { return mNewerAnswers; }
 
 private:
-  RateBaseline mFailureBaseline;
-  RateBaseline mSlowBaseline;
-  SequentialTest mFailures;
-  SequentialTest mSlow;
+  VersionComparison mSum;
+  std::map<RouteClass, VersionComparison> mClasses;
   std::uint64_t mNewerAnswers = 0;
-  std::uint64_t mNewerSinceOlder = 0; /**< Newer answers since the last one of the older version. */
   bool mIsBad = false;
 };
 
--- a/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
@@ -259,21 +259,38 @@
 
 void RolloutTracker::OnAnswer(const ServiceName& aService,
                               const std::string& aVersion,
+                              RouteClass aClass,
                               const VersionCounts& aCounts)
 {
   auto& rollout = mServices[aService].mRollout;
   if (!rollout || rollout->mOrder.mState != RolloutState::Running) {
     return;
   }
-  if (aVersion == rollout->mOrder.mTarget) {
-    rollout->mNewer += aCounts;
-    rollout->mEvaluator.AddNewer(aCounts);
-    if (rollout->mEvaluator.IsBad()) {
-      Stop(*rollout);
+  ComparedCounts counts;
+  (aVersion == rollout->mOrder.mTarget ? counts.mNewer : counts.mOlder) = aCounts;
+  rollout->mSum += counts;
+  EntryOfClass(rollout->mClasses, aClass) += counts;
+  rollout->mEvaluator.AddToSum(counts);
+  rollout->mEvaluator.AddToClass(aClass, counts);
+  if (rollout->mEvaluator.IsBad()) {
+    Stop(*rollout);
+  }
+}
+
+/** Counts what a peer has seen since its evidence was last merged. */
+void RolloutTracker::MergeCounts(Rollout& aRollout,
+                                 PeerEvidence& aPeer,
+                                 const RolloutEvidence& aEvidence)
+{
+  auto& known = aPeer.mEvidence;
+  aRollout.mEvaluator.AddToSum(aEvidence.mSum - known.mSum);
+  known.mSum = aEvidence.mSum;
+  for (const auto& [routeClass, counts] : aEvidence.mClasses) {
+    auto& knownCounts = EntryOfClass(known.mClasses, routeClass);
+    if (counts.Includes(knownCounts)) {
+      aRollout.mEvaluator.AddToClass(routeClass, counts - knownCounts);
+      knownCounts = counts;
     }
-  } else {
-    rollout->mOlder += aCounts;
-    rollout->mEvaluator.AddOlder(aCounts);
   }
 }
 
@@ -291,14 +308,14 @@
   if (aEvidence.mInstance != mSelf) {
     auto& peer = rollout.mPeers[aEvidence.mInstance];
     auto& known = peer.mEvidence;
-    if (aEvidence.mOlder.mAnswers >= known.mOlder.mAnswers &&
-        aEvidence.mNewer.mAnswers >= known.mNewer.mAnswers) {
-      rollout.mEvaluator.AddOlder(aEvidence.mOlder - known.mOlder);
-      rollout.mEvaluator.AddNewer(aEvidence.mNewer - known.mNewer);
-      if (known.mOlder != aEvidence.mOlder || known.mNewer != aEvidence.mNewer) {
+    if (aEvidence.mSum.Includes(known.mSum)) {
+      if (known.mSum != aEvidence.mSum) {
         peer.mChanged = aNow;
       }
-      known = aEvidence;
+      MergeCounts(rollout, peer, aEvidence);
+      known.mService = aEvidence.mService;
+      known.mTarget = aEvidence.mTarget;
+      known.mInstance = aEvidence.mInstance;
     }
   }
   if (aEvidence.mIsStopped || rollout.mEvaluator.IsBad()) {
@@ -319,8 +336,8 @@
     all.push_back({ name,
                     rollout.mOrder.mTarget,
                     mSelf,
-                    rollout.mOlder,
-                    rollout.mNewer,
+                    rollout.mSum,
+                    rollout.mClasses,
                     age,
                     rollout.mIsStopped,
                     UsesInCanary(rollout, aNow) });
--- a/modules/skylarkchute_routing/fleet/RolloutTracker.h
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.h
@@ -31,8 +31,8 @@
   ServiceName mService;
   std::string mTarget;
   IncarnationId mInstance;
-  VersionCounts mOlder;
-  VersionCounts mNewer;
+  ComparedCounts mSum; /**< Over all classes of requests. */
+  ClassCounts mClasses;
   std::chrono::milliseconds mAge{ 0 }; /**< Time since the order, as known to the instance. */
   bool mIsStopped = false;             /**< An instance found the version to be bad. */
   std::vector<SubjectUse> mUses;       /**< Uses known to the sender, on any instance. */
@@ -95,9 +95,10 @@
               const std::string& aKey,
               TimePoint aNow);
 
-  /** Counts answers of a version of a service. */
+  /** Counts answers of a version of a service to requests of one class. */
   void OnAnswer(const ServiceName& aService,
                 const std::string& aVersion,
+                RouteClass aClass,
                 const VersionCounts& aCounts);
 
   /** Merges the counts of another instance. Counts lower than the known ones are ignored.
@@ -142,8 +143,8 @@
     TimePoint mStart{};
     bool mIsStopped = false;
     RolloutEvaluator mEvaluator;
-    VersionCounts mOlder; /**< Answers seen by this instance. */
-    VersionCounts mNewer; /**< Answers seen by this instance. */
+    ComparedCounts mSum;  /**< Answers seen by this instance. */
+    ClassCounts mClasses; /**< Answers seen by this instance. */
     std::map<IncarnationId, PeerEvidence> mPeers;
     std::uint64_t mSent = 0; /**< Requests sent by this instance since the order. */
     std::uint64_t mSentToNewer = 0;
@@ -175,6 +176,7 @@
                  const std::vector<SubjectUse>& aUses,
                  TimePoint aNow);
   void InferBase(Service& aService, const std::vector<FleetRow*>& aRows) const;
+  static void MergeCounts(Rollout& aRollout, PeerEvidence& aPeer, const RolloutEvidence& aEvidence);
   void Stop(Rollout& aRollout);
 
   IncarnationId mSelf;
--- a/tests/skylarkchute_relay/StoreMirrorTests.cpp
+++ b/tests/skylarkchute_relay/StoreMirrorTests.cpp
@@ -147,8 +147,16 @@
   exchange.mKinds[kKind] = { 10, 11 };
   exchange.mChanges[kKind] = std::make_shared<const PackedChanges>(
     PackedChanges{ 9, 10, false, false, R"([["e1",10,true]])" });
+  RolloutEvidence evidence;
+  evidence.mSum = { { 40, 3, 2 }, { 9, 4, 1 } };
+  evidence.mClasses[RouteClass{ 4294967295U }] = { { 30, 2, 1 }, { 8, 4, 0 } };
+  evidence.mClasses[RouteClass{ 5 }] = { { 10, 1, 1 }, { 1, 0, 1 } };
+  exchange.mEvidence = { evidence };
   const auto read = DecodeExchange(EncodeExchange(exchange));
   REQUIRE(read.has_value());
+  REQUIRE(read->mEvidence.size() == 1);
+  CHECK(read->mEvidence[0].mSum == evidence.mSum);
+  CHECK(read->mEvidence[0].mClasses == evidence.mClasses);
   CHECK(read->mMembership.mFrom.mRecord.mIncarnation == "i1~2");
   CHECK(read->mMembership.mFrom.mRole == StoreRole::Follows);
   CHECK(read->mMembership.mDigest == exchange.mMembership.mDigest);
--- a/tests/skylarkchute_routing/RolloutFleetTests.cpp
+++ b/tests/skylarkchute_routing/RolloutFleetTests.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 const ServiceName kService("svc");
+constexpr RouteClass kClass{ 1 };
 constexpr seconds kPeriod{ 24 };
 constexpr milliseconds kSessionLifetime{ 8500 };
 
@@ -104,7 +105,7 @@
     REQUIRE_FALSE(rows.empty());
     const auto version = rows.front()->mEntry.mVersion;
     tracker.OnSent(kService, version, key, mNow);
-    tracker.OnAnswer(kService, version, { 1, 0, 0 });
+    tracker.OnAnswer(kService, version, kClass, { 1, 0, 0 });
     auto& last = mLastUses[aSubject];
     mMovedInSession +=
       !last.first.empty() && last.first != version && mNow - last.second < kSessionLifetime ? 1 : 0;
--- a/tests/skylarkchute_routing/RolloutTrackerTests.cpp
+++ b/tests/skylarkchute_routing/RolloutTrackerTests.cpp
@@ -139,16 +139,16 @@
   for (const bool isBad : { false, true }) {
     RolloutEvaluator evaluator;
     for (int n = 0; n < 400; ++n) {
-      evaluator.AddOlder({ 1, 0, n % 50 == 0 ? 1U : 0U });
+      evaluator.AddToSum({ { 1, 0, n % 50 == 0 ? 1U : 0U }, {} });
       if (n % 4 == 0) {
-        evaluator.AddNewer({ 1, 0, n % 200 == 0 ? 1U : 0U });
+        evaluator.AddToSum({ {}, { 1, 0, n % 200 == 0 ? 1U : 0U } });
       }
     }
     REQUIRE_FALSE(evaluator.IsBad());
     int answers = 0;
     for (; answers < 300 && !evaluator.IsBad(); ++answers) {
       const bool isSlow = answers >= 60 && (isBad ? answers % 20 != 0 : answers % 5 < 2);
-      evaluator.AddNewer({ 1, 0, isSlow ? 1U : 0U });
+      evaluator.AddToSum({ {}, { 1, 0, isSlow ? 1U : 0U } });
     }
     CHECK(evaluator.IsBad() == isBad);
   }
@@ -303,8 +303,7 @@
   evidence.mService = ServiceName("svc");
   evidence.mTarget = "v2";
   evidence.mInstance = IncarnationId("other~1");
-  evidence.mOlder = { 200, 0, 0 };
-  evidence.mNewer = { 30, 12, 0 };
+  evidence.mSum = { { 200, 0, 0 }, { 30, 12, 0 } };
   evidence.mAge = milliseconds(5000);
   CHECK(fleet.mRouter.Rollouts().OnEvidence(evidence, fleet.mNow));
   CHECK(Step(fleet) == RolloutStep::RollBack);
