A partitioned instance serves its callers through another one

Cause: a partitioned instance had no way to an endpoint but its own links. Class of fault: a node takes its own isolation for the failure of all others.

Change: PeerForwarding decides when an instance is partitioned and which other instance gets its requests; one hop over an internal port (setting `forwarded`), never a second one. Why it works: the others still reach the endpoints, and the instance that has the caller counts runs and retries, so that a request runs as often as before.

--- a/modules/skylarkchute_relay/callers/CallerConnection.cpp
+++ b/modules/skylarkchute_relay/callers/CallerConnection.cpp
@@ -41,9 +41,11 @@
 
 CallerConnection::CallerConnection(RelayContext& aContext,
                                    asio::ip::tcp::socket aSocket,
+                                   RequestOrigin aOrigin,
                                    std::function<void(CallerConnection*)> aOnClosed)
   : mContext(aContext)
   , mSocket(std::move(aSocket))
+  , mOrigin(aOrigin)
   , mReadTimer(aContext.mLoop)
   , mOnClosed(std::move(aOnClosed))
 {
@@ -176,7 +178,7 @@
   mClosesAfterResponse = !mReader->IsKeepAlive();
   CallerHead head{ mReader->Method(), mReader->Target(), mReader->Fields() };
   mRequest = std::make_shared<RelayedRequest>(
-    mContext, std::move(head), mReader->TakeBody(), weak_from_this());
+    mContext, std::move(head), mReader->TakeBody(), weak_from_this(), mOrigin);
   const auto request = mRequest;
   request->Start();
 }
--- a/modules/skylarkchute_relay/callers/CallerConnection.h
+++ b/modules/skylarkchute_relay/callers/CallerConnection.h
@@ -20,6 +20,7 @@
   /** @param aOnClosed  called once, when the connection is closed */
   CallerConnection(RelayContext& aContext,
                    boost::asio::ip::tcp::socket aSocket,
+                   RequestOrigin aOrigin,
                    std::function<void(CallerConnection*)> aOnClosed);
 
   /** Starts reading. */
@@ -58,6 +59,7 @@
 
   RelayContext& mContext;
   boost::asio::ip::tcp::socket mSocket;
+  RequestOrigin mOrigin;
   boost::asio::steady_timer mReadTimer;
   std::function<void(CallerConnection*)> mOnClosed;
   std::unique_ptr<RequestReader> mReader;
--- a/modules/skylarkchute_relay/callers/CallerServer.cpp
+++ b/modules/skylarkchute_relay/callers/CallerServer.cpp
@@ -11,8 +11,9 @@
 
 } // namespace
 
-CallerServer::CallerServer(RelayContext& aContext)
+CallerServer::CallerServer(RelayContext& aContext, RequestOrigin aOrigin)
   : mContext(aContext)
+  , mOrigin(aOrigin)
   , mAcceptor(aContext.mLoop)
   , mRetryTimer(aContext.mLoop)
 {
@@ -51,7 +52,7 @@
         return;
       }
       const auto connection = std::make_shared<CallerConnection>(
-        mContext, std::move(aSocket), [this](CallerConnection* aClosed) {
+        mContext, std::move(aSocket), mOrigin, [this](CallerConnection* aClosed) {
           mConnections.erase(aClosed);
         });
       mConnections.emplace(connection.get(), connection);
--- a/modules/skylarkchute_relay/callers/CallerServer.h
+++ b/modules/skylarkchute_relay/callers/CallerServer.h
@@ -6,11 +6,11 @@
 
 namespace skylarkchute {
 
-/** Accepts and owns the callers' connections. */
+/** Accepts and owns the callers' connections, or those of instances that forward requests. */
 class CallerServer
 {
 public:
-  explicit CallerServer(RelayContext& aContext);
+  explicit CallerServer(RelayContext& aContext, RequestOrigin aOrigin = RequestOrigin::Caller);
 
   /** Starts listening.
       @returns false when the address cannot be bound */
@@ -32,6 +32,7 @@
   void Accept();
 
   RelayContext& mContext;
+  RequestOrigin mOrigin;
   boost::asio::ip::tcp::acceptor mAcceptor;
   boost::asio::steady_timer mRetryTimer;
   std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> mConnections;
--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -176,6 +176,20 @@
   "Endpoints crashed under requests that share a part of their prompts; such requests are refused."
 };
 
+inline constexpr EventDescription kEndpointsUnreachable{
+  1148,
+  EventLevel::Warning,
+  "endpoints-unreachable",
+  "This instance reaches no endpoint any more; requests are forwarded to other instances."
+};
+
+inline constexpr EventDescription kEndpointsReached{
+  1149,
+  EventLevel::Info,
+  "endpoints-reached",
+  "An endpoint answered this instance again; requests are no longer forwarded."
+};
+
 /** Returns all events of this module. */
 std::vector<const EventDescription*> RelayEvents();
 
--- a/modules/skylarkchute_relay/peers/PeerExchange.cpp
+++ b/modules/skylarkchute_relay/peers/PeerExchange.cpp
@@ -242,6 +242,12 @@
       value["in_force"][std::string(KindName(kind))] = Json::UInt64(state.mInForce);
     }
   }
+  if (!aExchange.mForwardAddress.empty()) {
+    value["forwarded"] = aExchange.mForwardAddress;
+  }
+  if (aExchange.mIsPartitioned) {
+    value["partitioned"] = true;
+  }
   for (const auto& it : aExchange.mDepartures) {
     value["departures"].append(DepartureToJson(it));
   }
@@ -304,6 +310,8 @@
   for (auto& [kind, state] : exchange.mKinds) {
     state.mInForce = JsonCountField((*value)["in_force"], std::string(KindName(kind)).c_str());
   }
+  exchange.mForwardAddress = JsonTextField(*value, "forwarded");
+  exchange.mIsPartitioned = JsonFlagField(*value, "partitioned");
   for (const auto& it : JsonArrayField(*value, "departures")) {
     if (const auto departure = DepartureFromJson(it)) {
       exchange.mDepartures.push_back(*departure);
--- a/modules/skylarkchute_relay/peers/PeerExchange.h
+++ b/modules/skylarkchute_relay/peers/PeerExchange.h
@@ -40,6 +40,8 @@
   /** Name of a member that did not answer the sender; the receiver is asked to reach it. */
   std::string mProbe;
   std::vector<std::string> mReached; /**< Members that the sender has reached for the receiver. */
+  std::string mForwardAddress;       /**< For requests forwarded to the sender; empty for none. */
+  bool mIsPartitioned = false;       /**< The sender does not reach the endpoints itself. */
   std::vector<EndpointDeparture> mDepartures;
   std::vector<RolloutEvidence> mEvidence;
   std::vector<CrashSuspects::Crash> mCrashes;
--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -46,11 +46,13 @@
 RelayedRequest::RelayedRequest(RelayContext& aContext,
                                CallerHead aHead,
                                std::string aBody,
-                               std::weak_ptr<CallerResponder> aResponder)
+                               std::weak_ptr<CallerResponder> aResponder,
+                               RequestOrigin aOrigin)
   : mContext(aContext)
   , mHead(std::move(aHead))
   , mBody(std::make_shared<const std::string>(std::move(aBody)))
   , mResponder(std::move(aResponder))
+  , mOrigin(aOrigin)
   , mId(RequestIdOf(mHead))
   , mDeadlineTimer(aContext.mLoop)
   , mAttemptTimer(aContext.mLoop)
@@ -69,6 +71,7 @@
     Refuse({ RefusalReason::Leaving, kShutdownRetryAfter });
     return;
   }
+  request->mIsForwarded = mOrigin == RequestOrigin::Instance;
   request->mFingerprint = StableHash(*mBody, StableHash(request->mKey, StableHash(mHead.mTarget)));
   if (mContext.mStartupQueue.IsHolding()) {
     mContext.mStartupQueue.Hold(
@@ -130,7 +133,9 @@
   }
   const auto left = std::chrono::duration_cast<milliseconds>(mPlan->mEnd - now) - kDeadlineMargin;
   const auto lastEvent = mLastEventId ? std::to_string(*mLastEventId) : std::string();
-  auto head = EncodeEndpointHead(mHead, *mPlan, *mAttempt, left, lastEvent, mBody->size());
+  auto head = mAttempt->IsForwarded()
+                ? EncodeForwardedHead(mHead, left, lastEvent, mBody->size())
+                : EncodeEndpointHead(mHead, *mPlan, *mAttempt, left, lastEvent, mBody->size());
   mConnection = mContext.mPool.Acquire(*mAttempt, !mPlan->mRoute->IsRetryable());
   if (const auto timeout = mContext.mRouter.FirstByteTimeout(*mPlan, *mAttempt, now)) {
     ArmAttemptTimer(*timeout);
@@ -393,15 +398,9 @@
     mContext.mPool.Release(*mAttempt, mConnection);
   }
   const auto& head = mEndpointHead;
-  if (head.mStatesNotRun) {
-    const auto outcome = head.mIsMisdirected ? RelayOutcome::Misdirected : RelayOutcome::NotRun;
-    EndAttempt(outcome);
-    TryNextAttempt();
-    return;
-  }
   const bool isValid = head.mHasSeal && !head.mHasContentEncoding && head.mRequestId == mId;
-  if (!isValid) {
-    EndAttempt(RelayOutcome::Damaged);
+  if (head.mStatesNotRun || !isValid) {
+    EndAttempt(OutcomeOfFailure());
     TryNextAttempt();
     return;
   }
@@ -426,6 +425,21 @@
   Finish();
 }
 
+/** Returns the outcome of an attempt whose response is no answer of an endpoint that ran it. */
+RelayOutcome RelayedRequest::OutcomeOfFailure() const
+{
+  const auto& head = mEndpointHead;
+  if (head.mStatesNotRun) {
+    return head.mIsMisdirected ? RelayOutcome::Misdirected : RelayOutcome::NotRun;
+  }
+  // A response without a seal is another instance's own. It promises that the request did not run,
+  // unless it stands for an answer that did not come.
+  const bool isRejection = mAttempt->IsForwarded() && !head.mHasSeal &&
+                           head.mStatus >= kBadRequest && head.mStatus != kBadGateway &&
+                           head.mStatus != kGatewayTimeout;
+  return isRejection ? RelayOutcome::NotRun : RelayOutcome::Damaged;
+}
+
 void RelayedRequest::OnConnectionFailed(ConnectionFailure aFailure)
 {
   auto outcome = RelayOutcome::Lost;
@@ -475,10 +489,14 @@
   LogFailedAttempt(aOutcome);
   if (MayHaveRun(aOutcome) && aOutcome != RelayOutcome::Answered && !HasAnswerGotFar()) {
     mContext.mRouter.OnEndedEarly(*mPlan, *mAttempt, aOutcome, Now());
-    if (aOutcome == RelayOutcome::Lost) {
+    if (aOutcome == RelayOutcome::Lost && !mAttempt->IsForwarded()) {
       mContext.mCrashProbe.OnConnectionLost(*mAttempt);
     }
   }
+  if (mAttempt->IsForwarded()) {
+    mContext.mMetrics.Add("skylarkchute_forwarded_total",
+                          "outcome=\"" + std::string(RelayOutcomeName(aOutcome)) + "\"");
+  }
   mContext.mMetrics.Add("skylarkchute_attempts_total",
                         "outcome=\"" + std::string(RelayOutcomeName(aOutcome)) + "\"");
   mContext.mRouter.OnEnded(*mPlan, *mAttempt, aOutcome, Now());
--- a/modules/skylarkchute_relay/requests/RelayedRequest.h
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.h
@@ -13,6 +13,13 @@
 
 namespace skylarkchute {
 
+/** Who sent a request to this instance. */
+enum class RequestOrigin
+{
+  Caller,
+  Instance, /**< Another instance forwards a caller's request. @see PeerForwarding */
+};
+
 /** Relays one request of a caller, with as many attempts as the router allows. Its connection and
     timers keep the object alive until the response is sent or the caller disconnects. */
 class RelayedRequest final
@@ -24,7 +31,8 @@
   RelayedRequest(RelayContext& aContext,
                  CallerHead aHead,
                  std::string aBody,
-                 std::weak_ptr<CallerResponder> aResponder);
+                 std::weak_ptr<CallerResponder> aResponder,
+                 RequestOrigin aOrigin);
 
   /** Refuses the request, or starts its first attempt. While the start queue holds requests, this
       waits until the queue opens. */
@@ -71,6 +79,7 @@
   void AwaitMore();
   bool ForwardEvents(const std::vector<StreamEvent>& aEvents);
   void FinishBuffered(bool aReusable);
+  RelayOutcome OutcomeOfFailure() const;
   void FinishStream(bool aReusable);
   void Refuse(const RelayRefusal& aRefusal);
   void SendErrorResponse(unsigned aStatus,
@@ -84,6 +93,7 @@
   CallerHead mHead;
   std::shared_ptr<const std::string> mBody;
   std::weak_ptr<CallerResponder> mResponder;
+  RequestOrigin mOrigin;
   std::string mId;
   std::optional<RequestPlan> mPlan;
   std::optional<AttemptPlan> mAttempt;
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -87,6 +87,7 @@
   , mContext{ mLoop,         mRouter, mPool,    mCrashProbe, mStartupQueue,
               mAnswerMemory, mLog,    mMetrics, mIsLeaving,  mRefusesNew }
   , mCallerServer(mContext)
+  , mForwardServer(mContext, RequestOrigin::Instance)
   , mReadyServer(mLoop, [this](const ControlRequest& aRequest) { return AnswerReady(aRequest); })
   , mPeerServer(mLoop, [this](const ControlRequest& aRequest) { return AnswerPeer(aRequest); })
   , mMetricsServer(mLoop,
@@ -111,9 +112,11 @@
   const auto callers = ParseSocketAddress(mSettings.mCallerAddress);
   const auto ready = ParseSocketAddress(mSettings.mReadyAddress);
   const auto peers = ParseSocketAddress(mSettings.mPeerAddress);
+  const auto forwarded = ParseSocketAddress(mSettings.mForwardAddress);
   const auto metrics = ParseSocketAddress(mSettings.mMetricsAddress);
   return callers && ready && peers && mCallerServer.Listen(*callers) &&
          mReadyServer.Listen(*ready) && mPeerServer.Listen(*peers) &&
+         (!forwarded || mForwardServer.Listen(*forwarded)) &&
          (!metrics || mMetricsServer.Listen(*metrics));
 }
 
@@ -235,10 +238,13 @@
   const bool isOverdue = now - mStopRequestedAt >= mSettings.mGrace * kGraceFraction;
   if (isBalancerUpdated) {
     mRefusesNew = true;
-    mCallerServer.StopAccepting();
-    mCallerServer.CloseIdle();
+    for (auto* it : { &mCallerServer, &mForwardServer }) {
+      it->StopAccepting();
+      it->CloseIdle();
+    }
   }
-  if ((isBalancerUpdated && !mCallerServer.IsBusy()) || isOverdue) {
+  const bool isBusy = mCallerServer.IsBusy() || mForwardServer.IsBusy();
+  if ((isBalancerUpdated && !isBusy) || isOverdue) {
     mLoop.stop();
     return;
   }
@@ -294,6 +300,15 @@
   UpdateReadiness();
   mRecorder.Tick(now);
   LogRefusedParts();
+  LogPartition();
+}
+
+void RelayRuntime::LogPartition()
+{
+  const bool isPartitioned = mRouter.Forwarding().IsPartitioned();
+  if (std::exchange(mWasPartitioned, isPartitioned) != isPartitioned) {
+    mLog.Write({ isPartitioned ? &kEndpointsUnreachable : &kEndpointsReached, {} });
+  }
 }
 
 void RelayRuntime::LogRefusedParts()
@@ -430,6 +445,8 @@
   mMirrorExchange.Fill(aExchange, aKnown, aMaxBytes);
   mConfigExchange.Fill(aExchange, aKnown, aMaxBytes);
   mDepartureExchange.Fill(aExchange, aKnown, aMaxBytes, now);
+  aExchange.mForwardAddress = mSettings.mForwardAddress;
+  aExchange.mIsPartitioned = mRouter.Forwarding().IsPartitioned();
   aExchange.mEvidence = mRouter.Rollouts().Evidence(now);
   aExchange.mCrashes = mRouter.Suspects().Recent(now);
   aExchange.mPartReport = mRouter.PartSuspects().Recent(now);
@@ -462,6 +479,8 @@
   if (aExchange.mConfirmationAge) {
     mFollowing.OnConfirmation(*aExchange.mConfirmationAge, now);
   }
+  mRouter.Forwarding().OnPeer(
+    aExchange.mMembership.mFrom.mRecord.mName, aExchange.mForwardAddress, aExchange.mIsPartitioned);
   SpreadChanges(ChangeSpread::Source::Instance);
   StopHoldingIfStateKnown();
   for (const auto& it : aExchange.mEvidence) {
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -73,6 +73,7 @@
   void CatchUpWithEra();
   void LogNewEra();
   void LogRefusedParts();
+  void LogPartition();
   void SpreadChanges(ChangeSpread::Source aSource);
 
   RelaySettings mSettings;
@@ -104,6 +105,7 @@
   bool mRefusesNew = false;
   RelayContext mContext;
   CallerServer mCallerServer;
+  CallerServer mForwardServer;
   ControlServer mReadyServer;
   ControlServer mPeerServer;
   ControlServer mMetricsServer;
@@ -116,6 +118,7 @@
   TimePoint mStopRequestedAt{};
   std::uint64_t mTickCount = 0;
   bool mWasReady = false;
+  bool mWasPartitioned = false;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/runtime/RelaySettings.cpp
+++ b/modules/skylarkchute_relay/runtime/RelaySettings.cpp
@@ -100,6 +100,7 @@
     settings.mCallerAddress = ReadAddress(aReader, "callers", true);
     settings.mReadyAddress = ReadAddress(aReader, "ready", true);
     settings.mPeerAddress = ReadAddress(aReader, "peers", true);
+    settings.mForwardAddress = ReadAddress(aReader, "forwarded", false);
     settings.mMetricsAddress = ReadAddress(aReader, "metrics", false);
   });
   sections.ReadSection("platform", [&](SectionReader& aReader) {
--- a/modules/skylarkchute_relay/runtime/RelaySettings.h
+++ b/modules/skylarkchute_relay/runtime/RelaySettings.h
@@ -17,6 +17,8 @@
   std::string mCallerAddress;      /**< `IP:PORT` for callers. */
   std::string mReadyAddress;       /**< `IP:PORT` of the load balancer's readiness check. */
   std::string mPeerAddress;        /**< `IP:PORT` for other instances. */
+  std::string mForwardAddress;     /**< `IP:PORT` for requests that other instances forward; empty
+                                        for none, and no request is forwarded to this one. */
   std::string mMetricsAddress;     /**< `IP:PORT`; empty for none. */
   std::string mStoreAddress;       /**< `IP:PORT` of the platform's store. */
   std::vector<std::string> mSeeds; /**< Peer addresses of some instances; may be stale. */
--- a/modules/skylarkchute_routing/fleet/EndpointHealth.cpp
+++ b/modules/skylarkchute_routing/fleet/EndpointHealth.cpp
@@ -76,6 +76,13 @@
   Avoid(aNow);
 }
 
+void EndpointHealth::OnPartitionEnded()
+{
+  mFailureRate = 0;
+  mAvoidances = 0;
+  mAvoidUntil = TimePoint{};
+}
+
 void EndpointHealth::Avoid(TimePoint aNow)
 {
   if (aNow < mAvoidUntil) {
--- a/modules/skylarkchute_routing/fleet/EndpointHealth.h
+++ b/modules/skylarkchute_routing/fleet/EndpointHealth.h
@@ -37,6 +37,9 @@
       was lost. The endpoint is avoided at once. */
   void OnUnreachable(TimePoint aNow);
 
+  /** Forgets failures that were not the endpoint's: this instance was partitioned from it. */
+  void OnPartitionEnded();
+
   /** Returns the moving failure rate of attempts, 0 to 1. It decays while nothing is sent. */
   double FailureRate(TimePoint aNow) const;
 
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -13,6 +13,13 @@
 /** Maximum number of attempts of a request that are sent to endpoints, whether they run or not. */
 constexpr std::uint32_t kMaxSends = 4;
 
+/** Maximum number of attempts of a request through another instance. */
+constexpr std::uint32_t kMaxForwards = 4;
+
+/** After this many endpoints that could not be reached, a request goes through another instance.
+    One that another instance has sent is rejected. */
+constexpr std::uint32_t kMaxNotReached = 2;
+
 /** Retry delay stated in a refusal, limited to a third of the request's remaining time.
     kEngineRetryAfter applies to services with model engines. */
 constexpr milliseconds kShortRetryAfter{ 150 };
@@ -129,6 +136,8 @@
   plan.mEnd = aNow + std::min(route.mTimeout, aRequest.mDeadline.value_or(route.mTimeout));
   plan.mTarget = aNow + route.mTargetLatency;
   plan.mIsContinuation = aRequest.mIsContinuation;
+  plan.mIsForwarded = aRequest.mIsForwarded;
+  plan.mMaxRuns = aRequest.mIsForwarded ? 1 : route.mMaxAttempts;
   plan.mChoosesSize = !route.mSizes.empty() && aRequest.mModel == "*";
   mPartSuspects.OnRequest(plan.mSharedParts);
   if (IsSuspect(plan, aNow) || mPartSuspects.IsRefused(plan.mSharedParts, aNow)) {
@@ -182,7 +191,7 @@
   const auto largest = route.mSizes.size() - 1;
   const auto fallback = kDefaultLatency + milliseconds(aPlan.mPromptTokens / kDefaultTokensPerMs);
   return { route.mSizes.size(),
-           route.mMaxAttempts - std::min(route.mMaxAttempts, aRuns),
+           aPlan.mMaxRuns - std::min(aPlan.mMaxRuns, aRuns),
            Until(aPlan.mTarget, aNow),
            mLatencies.Mean(KindOf(aPlan, largest), fallback),
            aPlan.mIsContinuation,
@@ -224,7 +233,7 @@
   if (aNow >= aPlan.mEnd) {
     return Refuse(aPlan, RefusalReason::DeadlinePassed, aNow);
   }
-  if (aPlan.mRuns > 0 && (!route.IsRetryable() || aPlan.mRuns >= route.mMaxAttempts)) {
+  if (aPlan.mRuns > 0 && (!route.IsRetryable() || aPlan.mRuns >= aPlan.mMaxRuns)) {
     return Refuse(aPlan, RefusalReason::BudgetSpent, aNow);
   }
   if (aPlan.mSends >= kMaxSends) {
@@ -233,6 +242,14 @@
   if (IsSuspect(aPlan, aNow) || mPartSuspects.IsRefused(aPlan.mSharedParts, aNow)) {
     return Refuse(aPlan, RefusalReason::CrashesEndpoints, aNow);
   }
+  if (PrefersForwarding(aPlan, aNow)) {
+    if (auto forward = PlanForward(aPlan, aNow)) {
+      return *forward;
+    }
+  }
+  if (aPlan.mIsForwarded && aPlan.mNotReached >= kMaxNotReached) {
+    return Refuse(aPlan, RefusalReason::NoEndpoint, aNow);
+  }
   auto rows = mEndpoints.OpenRows(aPlan.mService);
   mRollouts.SelectVersion(aPlan.mService, aPlan.mSession, rows, aNow);
   auto permitted = rows;
@@ -245,10 +262,7 @@
   if (row == nullptr) {
     return Refuse(aPlan, RefusalReason::NoEndpoint, aNow);
   }
-  auto& window = mRetryWindows[aPlan.mService];
-  if (!std::exchange(aPlan.mIsCounted, true)) {
-    window.OnFirstAttempt(aNow, mBounds.mRetry);
-  } else if (aPlan.mSends > 0 && !window.TakeRetry(aNow, mBounds.mRetry, mInstances)) {
+  if (!TakeBudget(aPlan, aNow)) {
     return Refuse(aPlan, RefusalReason::BudgetSpent, aNow);
   }
   mPartSuspects.TakeTrial(aPlan.mSharedParts, aNow);
@@ -258,6 +272,81 @@
   return PlanFor(aPlan, *row, aNow);
 }
 
+/** Counts a first attempt, or takes a retry from the budget. What another instance forwards is
+    counted there.
+    @returns false when the budget is spent */
+bool FleetRouter::TakeBudget(RequestPlan& aPlan, TimePoint aNow)
+{
+  if (aPlan.mIsForwarded && aPlan.mSends == 0) {
+    return true;
+  }
+  auto& window = mRetryWindows[aPlan.mService];
+  if (!std::exchange(aPlan.mIsCounted, true)) {
+    window.OnFirstAttempt(aNow, mBounds.mRetry);
+    return true;
+  }
+  const bool isRetry = aPlan.mSends > 0 || aPlan.mRuns > 0;
+  return !isRetry || window.TakeRetry(aNow, mBounds.mRetry, mInstances);
+}
+
+/** Returns whether a request is to go through another instance, because this one does not reach the
+    endpoints. */
+bool FleetRouter::PrefersForwarding(const RequestPlan& aPlan, TimePoint aNow)
+{
+  if (aPlan.mIsForwarded || aPlan.mForwards >= kMaxForwards) {
+    return false;
+  }
+  if (aPlan.mNotReached >= kMaxNotReached) {
+    return true;
+  }
+  const bool mayProbe = aPlan.mRoute->IsRetryable() && aPlan.mNotReached == 0;
+  return mForwarding.IsPartitioned() && !(mayProbe && mForwarding.TakeProbe(aNow));
+}
+
+std::optional<AttemptPlan> FleetRouter::PlanForward(RequestPlan& aPlan, TimePoint aNow)
+{
+  auto* peer = mForwarding.Choose(mRandom(), aNow);
+  if (peer == nullptr || !TakeBudget(aPlan, aNow)) {
+    return std::nullopt;
+  }
+  ++peer->mOutstanding;
+  ++aPlan.mForwards;
+  AttemptPlan attempt;
+  attempt.mNumber = ++mAttempts;
+  attempt.mPeer = peer->mName;
+  attempt.mEndpoint = EndpointId(peer->mName);
+  attempt.mAddress = peer->mAddress;
+  attempt.mLatencyKind = KindOf(aPlan, std::nullopt);
+  return attempt;
+}
+
+void FleetRouter::OnReached()
+{
+  if (!mForwarding.OnReached()) {
+    return;
+  }
+  for (auto& [id, row] : mEndpoints.All()) {
+    row.mHealth.OnPartitionEnded();
+  }
+}
+
+void FleetRouter::OnNotReached(RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow)
+{
+  ++aPlan.mNotReached;
+  mForwarding.OnNotReached(aAttempt.mEndpoint, mEndpoints.All().size(), aNow);
+}
+
+void FleetRouter::OnForwardEnded(RequestPlan& aPlan,
+                                 const AttemptPlan& aAttempt,
+                                 RelayOutcome aOutcome,
+                                 TimePoint aNow)
+{
+  const bool wasRejected =
+    aOutcome == RelayOutcome::Unreachable || aOutcome == RelayOutcome::NotRun;
+  aPlan.mRuns += MayHaveRun(aOutcome) ? 1 : 0;
+  mForwarding.OnEnded(aAttempt.mPeer, wasRejected, aNow);
+}
+
 std::optional<AttemptPlan> FleetRouter::ReplaceSilentAttempt(const RequestPlan& aPlan,
                                                              const AttemptPlan& aSilent,
                                                              TimePoint aNow)
@@ -273,6 +362,9 @@
 void FleetRouter::OnSilence(const RequestPlan& aPlan, AttemptPlan& aAttempt, TimePoint aNow)
 {
   aAttempt.mIsSilenceCounted = true;
+  if (!aAttempt.IsForwarded()) {
+    mForwarding.OnNotReached(aAttempt.mEndpoint, mEndpoints.All().size(), aNow);
+  }
   if (auto* row = mEndpoints.Find(aAttempt.mEndpoint)) {
     row->mHealth.OnFailure(aNow, OthersFailureRate(aPlan.mService, aAttempt.mEndpoint, aNow));
   }
@@ -280,8 +372,7 @@
 
 bool FleetRouter::MayAttemptLater(const RequestPlan& aPlan, RefusalReason aReason) const
 {
-  if (!aPlan.mRoute->IsRetryable() || aPlan.mRuns >= aPlan.mRoute->mMaxAttempts ||
-      aPlan.mSends >= kMaxSends) {
+  if (!aPlan.mRoute->IsRetryable() || aPlan.mRuns >= aPlan.mMaxRuns || aPlan.mSends >= kMaxSends) {
     return false;
   }
   return aReason == RefusalReason::NoEndpoint || aReason == RefusalReason::EndpointsLimited ||
@@ -290,6 +381,9 @@
 
 void FleetRouter::OnSent(RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow)
 {
+  if (aAttempt.IsForwarded()) {
+    return;
+  }
   ++aPlan.mSends;
   mRollouts.OnSent(aPlan.mService, aAttempt.mVersion, aPlan.mSession, aNow);
   const auto* order = mRollouts.Order(aPlan.mService);
@@ -326,6 +420,10 @@
                               std::chrono::microseconds aLatency,
                               TimePoint aNow)
 {
+  if (aAttempt.IsForwarded()) {
+    return;
+  }
+  OnReached();
   const double relative = mLatencies.RelativeLatency(aAttempt.mLatencyKind, aLatency);
   if (auto* row = mEndpoints.Find(aAttempt.mEndpoint)) {
     row->mHealth.OnSuccess(aNow, relative);
@@ -392,6 +490,9 @@
                                RelayOutcome aOutcome,
                                TimePoint aNow)
 {
+  if (aAttempt.IsForwarded()) {
+    return;
+  }
   if (aOutcome == RelayOutcome::Lost) {
     mSuspects.OnLost({ aPlan.mFingerprint, aAttempt.Incarnation() }, aNow);
   }
@@ -420,9 +521,17 @@
                           RelayOutcome aOutcome,
                           TimePoint aNow)
 {
+  if (aAttempt.IsForwarded()) {
+    OnForwardEnded(aPlan, aAttempt, aOutcome, aNow);
+    return;
+  }
   if (MayHaveRun(aOutcome)) {
     ++aPlan.mRuns;
   }
+  if (aOutcome == RelayOutcome::Unreachable || aOutcome == RelayOutcome::TimedOut ||
+      aOutcome == RelayOutcome::Lost) {
+    OnNotReached(aPlan, aAttempt, aNow);
+  }
   const bool wasCountedSlow = EndWait(aAttempt);
   if (aOutcome != RelayOutcome::Answered && aOutcome != RelayOutcome::Superseded &&
       aOutcome != RelayOutcome::Abandoned) {
@@ -452,7 +561,7 @@
       return;
     case RelayOutcome::TimedOut:
       // Otherwise only the answers that were quick enough would count.
-      if (!wasCountedSlow) {
+      if (!wasCountedSlow && !mForwarding.IsPartitioned()) {
         mRollouts.OnAnswer(aPlan.mService, aAttempt.mVersion, aPlan.mRoute->Class(), { 1, 0, 1 });
       }
       break;
@@ -483,9 +592,12 @@
                                                           TimePoint aNow) const
 {
   const auto& route = *aPlan.mRoute;
-  if (!route.IsRetryable() || aPlan.mRuns + 1 >= route.mMaxAttempts) {
+  if (!route.IsRetryable() || aPlan.mRuns + 1 >= aPlan.mMaxRuns) {
     return std::nullopt;
   }
+  if (aAttempt.IsForwarded()) {
+    return kFullTimeout;
+  }
   // When all endpoints are full, another one would not answer sooner and the work would be done
   // twice.
   if (aAttempt.mSize && mEndpoints.Pressure(aPlan.mService, aNow) >= kFullPressure) {
@@ -525,6 +637,7 @@
 {
   SetInstances(aOthers.size() + 1);
   mPartSuspects.SetInstances(aSelf, aOthers);
+  mForwarding.KeepPeers(aOthers);
   mLimitShares.SetInstances(std::move(aSelf), aOthers);
 }
 
--- a/modules/skylarkchute_routing/fleet/FleetRouter.h
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.h
@@ -4,6 +4,7 @@
 #include "FleetTable.h"
 #include "LatencyBaseline.h"
 #include "ModelSizePolicy.h"
+#include "PeerForwarding.h"
 #include "RelayRequest.h"
 #include "RetryWindow.h"
 #include "RolloutTracker.h"
@@ -138,6 +139,7 @@
   RolloutTracker& Rollouts() { return mRollouts; }
   CrashSuspects& Suspects() { return mSuspects; }
   PromptPartSuspects& PartSuspects() { return mPartSuspects; }
+  PeerForwarding& Forwarding() { return mForwarding; }
 
   /** Removes expired state, and counts answers that are overdue in rollouts. To be called several
       times a second.
@@ -169,6 +171,15 @@
   void CountOverdueAnswers(TimePoint aNow);
   bool EndWait(const AttemptPlan& aAttempt);
   AttemptPlan PlanFor(const RequestPlan& aPlan, const FleetRow& aRow, TimePoint aNow);
+  std::optional<AttemptPlan> PlanForward(RequestPlan& aPlan, TimePoint aNow);
+  bool PrefersForwarding(const RequestPlan& aPlan, TimePoint aNow);
+  bool TakeBudget(RequestPlan& aPlan, TimePoint aNow);
+  void OnReached();
+  void OnNotReached(RequestPlan& aPlan, const AttemptPlan& aAttempt, TimePoint aNow);
+  void OnForwardEnded(RequestPlan& aPlan,
+                      const AttemptPlan& aAttempt,
+                      RelayOutcome aOutcome,
+                      TimePoint aNow);
 
   ZoneName mZone;
   FleetBounds mBounds;
@@ -179,6 +190,7 @@
   PromptPartSuspects mPartSuspects;
   LatencyBaseline mLatencies;
   EndpointLimitShares mLimitShares;
+  PeerForwarding mForwarding;
   std::map<ServiceName, RetryWindow> mRetryWindows;
   std::map<std::uint64_t, AwaitedAnswer> mAwaited; /**< By number of the attempt. */
   std::uint64_t mAttempts = 0;                     /**< Planned so far. */
--- /dev/null
+++ b/modules/skylarkchute_routing/fleet/PeerForwarding.cpp
@@ -0,0 +1,108 @@
+#include "PeerForwarding.h"
+
+#include <algorithm>
+
+namespace skylarkchute {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** An instance counts as partitioned once this many endpoints in a row could not be reached, or all
+    of them if there are fewer, within kEvidenceLifetime and without an answer of any other. */
+constexpr std::size_t kPartitionEndpoints = 3;
+constexpr milliseconds kEvidenceLifetime{ 2000 };
+
+/** Maximum number of requests that this instance forwards to one other at a time. */
+constexpr std::uint32_t kMaxOutstanding = 128;
+
+/** An instance that rejects a request is avoided for this long, doubled with each further one. */
+constexpr milliseconds kInitialAvoidance{ 200 };
+constexpr std::uint32_t kMaxDoublings = 3;
+
+} // namespace
+
+void PeerForwarding::OnPeer(const std::string& aName,
+                            const std::string& aAddress,
+                            bool aIsPartitioned)
+{
+  auto& peer = mPeers[aName];
+  peer.mName = aName;
+  peer.mAddress = aAddress;
+  peer.mIsPartitioned = aIsPartitioned;
+}
+
+void PeerForwarding::KeepPeers(const std::vector<InstanceId>& aLive)
+{
+  std::erase_if(mPeers, [&](const auto& aEntry) {
+    return aEntry.second.mOutstanding == 0 &&
+           std::find(aLive.begin(), aLive.end(), InstanceId(aEntry.first)) == aLive.end();
+  });
+}
+
+bool PeerForwarding::OnReached()
+{
+  mNotReached.clear();
+  return std::exchange(mIsPartitioned, false);
+}
+
+bool PeerForwarding::OnNotReached(const EndpointId& aEndpoint,
+                                  std::size_t aEndpoints,
+                                  TimePoint aNow)
+{
+  if (mIsPartitioned) {
+    return false;
+  }
+  mNotReached[aEndpoint] = aNow;
+  std::erase_if(mNotReached,
+                [&](const auto& aEntry) { return aNow - aEntry.second > kEvidenceLifetime; });
+  mIsPartitioned = mNotReached.size() >= std::min(kPartitionEndpoints, aEndpoints);
+  mNextProbe = aNow + kProbeInterval;
+  return mIsPartitioned;
+}
+
+bool PeerForwarding::TakeProbe(TimePoint aNow)
+{
+  if (aNow < mNextProbe) {
+    return false;
+  }
+  mNextProbe = aNow + kProbeInterval;
+  return true;
+}
+
+PeerForwarding::Peer* PeerForwarding::Choose(std::uint64_t aTieBreaker, TimePoint aNow)
+{
+  std::vector<Peer*> candidates;
+  for (auto& [name, peer] : mPeers) {
+    if (!peer.mAddress.empty() && !peer.mIsPartitioned && aNow >= peer.mAvoidUntil &&
+        peer.mOutstanding < kMaxOutstanding) {
+      candidates.push_back(&peer);
+    }
+  }
+  Peer* chosen = nullptr;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    auto* it = candidates[(i + aTieBreaker) % candidates.size()];
+    if (chosen == nullptr || it->mOutstanding < chosen->mOutstanding) {
+      chosen = it;
+    }
+  }
+  return chosen;
+}
+
+void PeerForwarding::OnEnded(const std::string& aName, bool aWasRejected, TimePoint aNow)
+{
+  const auto found = mPeers.find(aName);
+  if (found == mPeers.end()) {
+    return;
+  }
+  auto& peer = found->second;
+  peer.mOutstanding -= std::min(peer.mOutstanding, 1U);
+  if (!aWasRejected) {
+    peer.mRejections = 0;
+    return;
+  }
+  peer.mAvoidUntil = aNow + kInitialAvoidance * (1U << std::min(peer.mRejections, kMaxDoublings));
+  ++peer.mRejections;
+}
+
+} // namespace skylarkchute
--- a/modules/skylarkchute_routing/fleet/RelayRequest.h
+++ b/modules/skylarkchute_routing/fleet/RelayRequest.h
@@ -26,6 +26,7 @@
   std::optional<std::chrono::milliseconds> mDeadline; /**< How long the caller waits. */
   std::uint64_t mFingerprint = 0;                     /**< Hash of path, caller and body. */
   bool mIsContinuation = false; /**< The caller already has the first part of the stream. */
+  bool mIsForwarded = false;    /**< Another instance sent it. @see PeerForwarding */
 };
 
 enum class RefusalReason
@@ -75,7 +76,11 @@
   std::optional<std::size_t> mSize; /**< Model of a stream that the caller has partly received. */
   bool mWantsLargest = false;       /**< The confidence of a smaller model was too low. */
   bool mIsCounted = false;          /**< As a request in the retry budget of its service. */
+  bool mIsForwarded = false;        /**< Another instance sent it, and counts its attempts. */
+  std::uint32_t mMaxRuns = 1;       /**< Attempts that may run at endpoints. */
   std::uint32_t mRuns = 0;          /**< Attempts that may have run. */
+  std::uint32_t mNotReached = 0;    /**< Endpoints that could not be reached. */
+  std::uint32_t mForwards = 0;      /**< Attempts through another instance. */
   std::uint32_t mSends = 0;         /**< Attempts that were sent to an endpoint. */
   std::vector<EndpointId> mTried;   /**< Endpoints where an attempt did not succeed. */
 };
@@ -96,6 +101,11 @@
   std::uint64_t mNumber = 0;      /**< Of the attempt at this instance. */
   bool mIsSilenceCounted = false; /**< The endpoint's health knows that it was silent. */
 
+  std::string mPeer; /**< The instance that it goes through; empty for none. Endpoint
+                          and version are not known then. */
+
+  bool IsForwarded() const { return !mPeer.empty(); }
+
   /** Returns the id and incarnation of the endpoint. */
   std::string Incarnation() const
   {
--- a/tests/fleet/relays.sh
+++ b/tests/fleet/relays.sh
@@ -42,11 +42,13 @@
   caller_port[$name]=${caller_port[$name]:-$(free_port)}
   ready_port[$name]=${ready_port[$name]:-$(free_port)}
   peer_address[$name]=${peer_address[$name]:-127.0.0.1:$(free_port)}
+  forward_port[$name]=${forward_port[$name]:-$(free_port)}
   status_port[$name]=${status_port[$name]:-$(free_port)}
   sed -e "s/^name = .*/name = $name/" -e "s/^zone = .*/zone = $zone/" \
     -e "s/^callers = .*/callers = 127.0.0.1:${caller_port[$name]}/" \
     -e "s/^ready = .*/ready = 127.0.0.1:${ready_port[$name]}/" \
     -e "s/^peers = .*/peers = ${peer_address[$name]}/" \
+    -e "s/^forwarded = .*/forwarded = 127.0.0.1:${forward_port[$name]}/" \
     -e "s/^metrics = .*/metrics = 127.0.0.1:${status_port[$name]}/" \
     -e "s/^store = .*/store = 127.0.0.1:$users_store_port/" \
     -e "s/^seeds = .*/seeds = ${peer_address[relay-1]}/" examples/relay.ini >"$work/$name.ini"
