The exposure limit of a rollout holds while no older endpoint is open

Callers may see a version under trial get everything: when no endpoint of the older version was open (all drained, leaving or gone), SelectVersion sent every request to the newer one, whatever its exposure.

Change: without an older endpoint the newer version gets what its share or the exposure limit allows, or all once the rollout may be completed; the rest is rejected at once, as for any service without endpoints.

--- a/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
@@ -26,6 +26,10 @@
     in the move order. The exposure limit still applies. */
 constexpr double kLowTrafficCanaryShare = 0.5;
 
+/** Upper limit of the exposed share in the canary phase: chance may bring more than the canary
+    share. */
+constexpr double kMaxCanaryExposure = 1.2 * kCanaryShare;
+
 /** Fraction that one instance uses of its share of the exposure limit, because requests that other
     instances are about to send are not counted yet. */
 constexpr double kUsableExposure = 0.75;
@@ -164,12 +168,20 @@
   return kCanaryShare * std::min(1.0, std::sqrt(kSmallFleet / instances));
 }
 
-bool RolloutTracker::MayExpose(const Rollout& aRollout, double aShare) const
+/** Returns whether one more request to the newer version keeps to this instance's part of a limit.
+    @param aLimit  share of all requests, 0 to 1 */
+bool RolloutTracker::MayExpose(const Rollout& aRollout, double aLimit) const
 {
   const double slack = mBound.mSlack / static_cast<double>(std::max<std::size_t>(mInstances, 1));
-  const double share = std::min(aShare * 1.2, mBound.mShare);
   return static_cast<double>(aRollout.mSentToNewer) + 1 <=
-         kUsableExposure * (share * static_cast<double>(aRollout.mSent) + slack);
+         kUsableExposure * (aLimit * static_cast<double>(aRollout.mSent) + slack);
+}
+
+/** Returns whether the newer version may get a request because no endpoint of the older one is
+    open. */
+bool RolloutTracker::MayReplaceOlder(const Rollout& aRollout, TimePoint aNow) const
+{
+  return Progress(aRollout, aNow) >= kCompletionStart || MayExpose(aRollout, mBound.mShare);
 }
 
 bool RolloutTracker::SelectsNewer(const Rollout& aRollout,
@@ -197,7 +209,7 @@
   }
   const bool hasLowTraffic = progress >= kSessionMoveStart && !hasEvidence;
   if (moveOrder >= (hasLowTraffic ? LowTrafficShare(progress) : CanaryShare()) ||
-      !MayExpose(aRollout, kCanaryShare)) {
+      !MayExpose(aRollout, std::min(kMaxCanaryExposure, mBound.mShare))) {
     return false;
   }
   if (progress >= kSessionMoveStart || !aHasSubject) {
@@ -229,7 +241,8 @@
     const double progress = Progress(*rollout, aNow);
     const auto subject =
       aKey.empty() ? StableHash({}, ++mSubjectlessRequests) : SubjectOf(aService, aKey);
-    if (!hasOlder || SelectsNewer(*rollout, subject, !aKey.empty(), aNow)) {
+    if (SelectsNewer(*rollout, subject, !aKey.empty(), aNow) ||
+        (!hasOlder && MayReplaceOlder(*rollout, aNow))) {
       KeepVersion(aOpen, rollout->mOrder.mTarget);
       if (hasOlder && progress < kRampStart) {
         KeepCanaryEndpoints(aOpen, CanaryShare());
--- a/modules/skylarkchute_routing/fleet/RolloutTracker.h
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.h
@@ -165,11 +165,12 @@
 
   double Progress(const Rollout& aRollout, TimePoint aNow) const;
   double CanaryShare() const;
-  bool MayExpose(const Rollout& aRollout, double aShare) const;
+  bool MayExpose(const Rollout& aRollout, double aLimit) const;
   bool SelectsNewer(const Rollout& aRollout,
                     std::uint64_t aSubject,
                     bool aHasSubject,
                     TimePoint aNow) const;
+  bool MayReplaceOlder(const Rollout& aRollout, TimePoint aNow) const;
   std::vector<SubjectUse> UsesInCanary(const Rollout& aRollout, TimePoint aNow) const;
   void MergeUses(const Rollout& aRollout,
                  const std::string& aBase,
--- a/tests/skylarkchute_routing/RolloutTrackerTests.cpp
+++ b/tests/skylarkchute_routing/RolloutTrackerTests.cpp
@@ -310,6 +310,45 @@
   CHECK(fleet.mRouter.Rollouts().Evidence(fleet.mNow).front().mAge >= milliseconds(5000));
 }
 
+TEST_CASE("rollout: the exposure limit holds while no endpoint of the older version is open")
+{
+  // All three had crashed, and the version in trial got every request.
+  FleetFixture fleet;
+  fleet.AddEndpoints("old", 3);
+  fleet.AddEndpoints("new", 3, "v2");
+  fleet.OrderRollout("v2", kPeriod);
+  Traffic before;
+  before.Send(fleet, seconds(3), [](int) { return false; });
+  for (const auto* id : { "old0", "old1", "old2" }) {
+    fleet.mRouter.Endpoints().Remove(EndpointId(id), false, fleet.mNow);
+  }
+  int sent = before.mOlder + before.mNewer;
+  int newer = before.mNewer;
+  int refused = 0;
+  for (milliseconds at{ 0 }; at < seconds(6); at += milliseconds(25)) {
+    fleet.mNow += milliseconds(25);
+    auto plan = fleet.Admit("/order/1");
+    const auto decision = fleet.mRouter.NextAttempt(plan, false, fleet.mNow);
+    if (const auto* attempt = std::get_if<AttemptPlan>(&decision)) {
+      CHECK(attempt->mVersion == "v2");
+      fleet.mRouter.OnSent(plan, *attempt, fleet.mNow);
+      fleet.mRouter.OnFirstByte(plan, *attempt, milliseconds(50), fleet.mNow);
+      fleet.mRouter.OnEnded(plan, *attempt, RelayOutcome::Answered, fleet.mNow);
+      ++sent;
+      ++newer;
+    } else {
+      ++refused;
+    }
+  }
+  CHECK(newer <= 0.15 * sent + 30);
+  CHECK(newer > before.mNewer);
+  CHECK(refused > 0);
+  fleet.AddEndpoints("old", 3);
+  Traffic after;
+  after.Send(fleet, seconds(1), [](int) { return false; });
+  CHECK(after.mOlder > 0);
+}
+
 TEST_CASE("rollout: what was rolled back gets nothing, what was completed gets all")
 {
   FleetFixture fleet;
