--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -299,7 +299,8 @@
   if (aPlan.mNotReached >= kMaxNotReached) {
     return true;
   }
-  const bool mayProbe = aPlan.mRoute->IsRetryable() && aPlan.mNotReached == 0;
+  // A request that fails to reach an endpoint has not run, so that any request may be the test.
+  const bool mayProbe = aPlan.mNotReached == 0 && aPlan.mRuns == 0;
   return mForwarding.IsPartitioned() && !(mayProbe && mForwarding.TakeProbe(aNow));
 }
 
