--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -217,7 +217,8 @@
   }
   Configure();
   for (std::uint32_t n = 1; n <= aRelays; ++n) {
-    mRelays.push_back({ "relay-" + std::to_string(n), FreePort(), FreePort(), FreePort() });
+    mRelays.push_back(
+      { "relay-" + std::to_string(n), FreePort(), FreePort(), FreePort(), FreePort() });
   }
   mSeeds = Local(mRelays.front().mPeerPort);
   for (auto& it : mRelays) {
@@ -279,6 +280,7 @@
   out << "[instance]\nname = " << aRelay.mName
       << "\nzone = zone-a\n[listen]\ncallers = " << Local(aRelay.mCallerPort)
       << "\nready = " << Local(aRelay.mReadyPort) << "\npeers = " << Local(aRelay.mPeerPort)
+      << "\nforwarded = " << Local(aRelay.mForwardPort)
       << "\n[platform]\nstore = " << Local(mStorePort) << "\nseeds = " << mSeeds
       << "\n[retries]\nratio = 0.9\nslack = 58\nwindow = 10s\n[rollouts]\nexposed_share = 0.15\n"
          "exposed_slack = 30\n[shutdown]\ngrace = 8s\n[log]\nlevel = info\n";
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -60,6 +60,7 @@
     std::uint16_t mCallerPort = 0;
     std::uint16_t mReadyPort = 0;
     std::uint16_t mPeerPort = 0;
+    std::uint16_t mForwardPort = 0;
     std::unique_ptr<ChildProcess> mProcess = nullptr;
     std::size_t mLife = 0; /**< Index into mLives. */
     std::optional<TimePoint> mRestartAt = std::nullopt;
