--- a/modules/skylarkchute_routing/fleet/PeerForwarding.cpp
+++ b/modules/skylarkchute_routing/fleet/PeerForwarding.cpp
@@ -46,19 +46,18 @@
   return std::exchange(mIsPartitioned, false);
 }
 
-bool PeerForwarding::OnNotReached(const EndpointId& aEndpoint,
+void PeerForwarding::OnNotReached(const EndpointId& aEndpoint,
                                   std::size_t aEndpoints,
                                   TimePoint aNow)
 {
   if (mIsPartitioned) {
-    return false;
+    return;
   }
   mNotReached[aEndpoint] = aNow;
   std::erase_if(mNotReached,
                 [&](const auto& aEntry) { return aNow - aEntry.second > kEvidenceLifetime; });
   mIsPartitioned = mNotReached.size() >= std::min(kPartitionEndpoints, aEndpoints);
   mNextProbe = aNow + kProbeInterval;
-  return mIsPartitioned;
 }
 
 bool PeerForwarding::TakeProbe(TimePoint aNow)
--- a/modules/skylarkchute_routing/fleet/PeerForwarding.h
+++ b/modules/skylarkchute_routing/fleet/PeerForwarding.h
@@ -42,9 +42,8 @@
   bool OnReached();
 
   /** Records that an endpoint could not be reached, fell silent or lost its connection.
-      @param aEndpoints  number of endpoints known
-      @returns whether this instance counts as partitioned from now on */
-  bool OnNotReached(const EndpointId& aEndpoint, std::size_t aEndpoints, TimePoint aNow);
+      @param aEndpoints  number of endpoints known */
+  void OnNotReached(const EndpointId& aEndpoint, std::size_t aEndpoints, TimePoint aNow);
 
   /** Returns whether this instance seems to be partitioned from all endpoints. */
   bool IsPartitioned() const { return mIsPartitioned; }
@@ -67,7 +66,8 @@
 
 private:
   std::map<std::string, Peer> mPeers;
-  std::map<EndpointId, TimePoint> mNotReached; /**< Since an endpoint answered. */
+  /** Endpoints that failed since one answered, with the time of the last failure. */
+  std::map<EndpointId, TimePoint> mNotReached;
   bool mIsPartitioned = false;
   TimePoint mNextProbe{};
 };
--- a/modules/skylarkchute_routing/fleet/RelayRequest.h
+++ b/modules/skylarkchute_routing/fleet/RelayRequest.h
@@ -100,10 +100,11 @@
   LatencyKind mLatencyKind;
   std::uint64_t mNumber = 0;      /**< Of the attempt at this instance. */
   bool mIsSilenceCounted = false; /**< The endpoint's health knows that it was silent. */
+  /** The instance that it goes through; empty for none. That instance chooses endpoint and version;
+      mEndpoint is its name here. */
+  std::string mPeer;
 
-  std::string mPeer; /**< The instance that it goes through; empty for none. Endpoint
-                          and version are not known then. */
-
+  /** Returns whether it goes through another instance. */
   bool IsForwarded() const { return !mPeer.empty(); }
 
   /** Returns the id and incarnation of the endpoint. */
