--- a/tests/fleet/relays.sh
+++ b/tests/fleet/relays.sh
@@ -1,7 +1,7 @@
 # Functions that start a stand-in for the users' platform, and relays connected to it, as real
 # processes on the loopback address. Source fleet.sh first; its stop_fleet stops them.
 
-declare -A endpoint_pid endpoint_port ready_port status_port peer_address
+declare -A endpoint_pid endpoint_port ready_port status_port peer_address forward_port
 relay_key=example-dispatch-key
 
 # Starts the stand-in for the users' object store and sets users_store_port to its port.
