--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -272,17 +272,16 @@
   return PlanFor(aPlan, *row, aNow);
 }
 
-/** Counts a first attempt, or takes a retry from the budget. What another instance forwards is
-    counted there.
+/** Counts a first attempt, or takes a retry from the budget. The first attempt at a request that
+    another instance forwards was counted there.
     @returns false when the budget is spent */
 bool FleetRouter::TakeBudget(RequestPlan& aPlan, TimePoint aNow)
 {
-  if (aPlan.mIsForwarded && aPlan.mSends == 0) {
-    return true;
-  }
   auto& window = mRetryWindows[aPlan.mService];
   if (!std::exchange(aPlan.mIsCounted, true)) {
-    window.OnFirstAttempt(aNow, mBounds.mRetry);
+    if (!aPlan.mIsForwarded) {
+      window.OnFirstAttempt(aNow, mBounds.mRetry);
+    }
     return true;
   }
   const bool isRetry = aPlan.mSends > 0 || aPlan.mRuns > 0;
