Lateness of the event loop: a metric and event 1150

Logs and metrics can't tell whether work for callers that have left was started by a late event loop or went on after a close that was seen in time: an attempt that is abandoned leaves no line, and 1106 begins at 1.2 s. Each tick records how late it is; from 250 ms on it is logged.

--- a/modules/skylarkchute_relay/events/RelayEvents.cpp
+++ b/modules/skylarkchute_relay/events/RelayEvents.cpp
@@ -33,7 +33,8 @@
            &kEndpointPaused,
            &kPromptPartRefused,
            &kEndpointsUnreachable,
-           &kEndpointsReached };
+           &kEndpointsReached,
+           &kLoopDelayed };
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -189,6 +189,12 @@
   "endpoints-reached",
   "An endpoint answered this instance again; requests are no longer forwarded."
 };
+inline constexpr EventDescription kLoopDelayed{
+  1150,
+  EventLevel::Warning,
+  "loop-delayed",
+  "The event loop ran late; requests and closed connections were seen late."
+};
 
 /** Returns all events of this module. */
 std::vector<const EventDescription*> RelayEvents();
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -22,6 +22,9 @@
     date. */
 constexpr milliseconds kPauseThreshold{ 1200 };
 
+/** Delays of a tick from here on are logged. */
+constexpr milliseconds kLoopDelayThreshold{ 250 };
+
 /** For this long after the stop signal, but at most for half the grace period, new requests are
     accepted, since the load balancer sends them until it sees that the instance is not ready. */
 constexpr milliseconds kBalancerUpdateDelay{ 2600 };
@@ -261,12 +264,27 @@
   mTickTimer.expires_after(kTickInterval);
   mTickTimer.async_wait([this](const ErrorCode& aError) {
     if (!aError) {
+      RecordLoopDelay();
       Tick();
       ScheduleTick();
     }
   });
 }
 
+/** Records how late the tick is, which tells how long other events have waited as well. */
+void RelayRuntime::RecordLoopDelay()
+{
+  const auto delay = Now() - mTickTimer.expiry();
+  mMetrics.Record("skylarkchute_loop_delay_seconds",
+                  "",
+                  std::chrono::duration_cast<std::chrono::microseconds>(delay));
+  if (delay >= kLoopDelayThreshold) {
+    mLog.Write({ &kLoopDelayed,
+                 { { "delay_ms",
+                     std::to_string(std::chrono::duration_cast<milliseconds>(delay).count()) } } });
+  }
+}
+
 void RelayRuntime::Tick()
 {
   const auto now = Now();
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -64,6 +64,7 @@
   void CheckStopped();
 
   void ScheduleTick();
+  void RecordLoopDelay();
   void Tick();
   void DetectPause(TimePoint aNow);
   void UpdateReadiness();
