The close of a caller that has sent ahead is seen

What callers saw: nothing; an endpoint went on for a caller that had left. Cause: while a request is served, reading stops at 64 KiB of buffered bytes, and with it the detection of a close, until the answer is complete. Class: a close is only seen by reading. Change: while the buffer is full, the socket is asked every 200 ms whether the peer has closed. Evidence: the test failed before on the endpoint's open connection. A second test, of a stream that waits for an endpoint, passed before and stays as a guard.

--- a/modules/skylarkchute_relay/callers/CallerConnection.cpp
+++ b/modules/skylarkchute_relay/callers/CallerConnection.cpp
@@ -18,6 +18,9 @@
 /** Pipelined bytes that are buffered while a request is in progress. */
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
 
+/** Interval at which the connection is checked for a close while no more bytes are read from it. */
+constexpr std::chrono::milliseconds kCloseCheckInterval{ 200 };
+
 /** The connection is closed when more bytes of a stream than this are queued; the caller is then
     assumed to have stopped reading. A response that is sent whole may be longer. */
 constexpr std::size_t kMaxUnsentBytes = 2 * 1024 * 1024;
@@ -91,7 +94,11 @@
 
 void CallerConnection::OnReadTimeout()
 {
-  if (mRequest || mIsClosed) {
+  if (mIsClosed) {
+    return;
+  }
+  if (mRequest) {
+    CheckForClose();
     return;
   }
   if (!mHasRequestBytes) {
@@ -101,9 +108,25 @@
   RejectRequest(kRequestTimeout, "the request did not arrive in time");
 }
 
+/** Closes the connection if the caller has closed it behind bytes that are not read yet. */
+void CallerConnection::CheckForClose()
+{
+  if (HasPeerClosed(mSocket)) {
+    Close();
+    return;
+  }
+  WaitForBytes();
+}
+
 void CallerConnection::WaitForBytes()
 {
-  if (mIsReading || mIsClosed || mReceived.size() >= kMaxPipelinedBytes) {
+  if (mIsReading || mIsClosed) {
+    return;
+  }
+  if (mReceived.size() >= kMaxPipelinedBytes) {
+    if (mRequest) {
+      ArmReadTimer(kCloseCheckInterval);
+    }
     return;
   }
   mIsReading = true;
@@ -149,7 +172,10 @@
   while (!mIsClosed && !ec && mReceived.size() < kMaxPipelinedBytes) {
     ec = ReadSome();
   }
-  return !mIsClosed && (!ec || IsNothingToRead(ec));
+  if (!ec) {
+    return !mIsClosed && !HasPeerClosed(mSocket);
+  }
+  return IsNothingToRead(ec);
 }
 
 void CallerConnection::Parse()
--- a/modules/skylarkchute_relay/callers/CallerConnection.h
+++ b/modules/skylarkchute_relay/callers/CallerConnection.h
@@ -53,6 +53,7 @@
   void RejectRequest(unsigned aStatus, std::string_view aReason);
   void ArmReadTimer(std::chrono::milliseconds aTime);
   void OnReadTimeout();
+  void CheckForClose();
   void QueueBytes(std::string_view aBytes);
   void Write();
   void OnWritten(const ErrorCode& aError);
--- a/modules/skylarkchute_relay/net/SocketOptions.cpp
+++ b/modules/skylarkchute_relay/net/SocketOptions.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace skylarkchute {
@@ -56,4 +57,11 @@
   SetOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(kUserTimeout.count()));
 }
 
+bool HasPeerClosed(boost::asio::ip::tcp::socket& aSocket)
+{
+  pollfd query{ aSocket.native_handle(), POLLRDHUP, 0 };
+  constexpr int kNoWait = 0;
+  return ::poll(&query, 1, kNoWait) > 0 && (query.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/net/SocketOptions.h
+++ b/modules/skylarkchute_relay/net/SocketOptions.h
@@ -17,4 +17,8 @@
     keeps the system's default. */
 void ConfigureSocket(boost::asio::ip::tcp::socket& aSocket);
 
+/** Returns whether the peer has closed or reset the connection, also while bytes that it sent
+    before are unread. False when the system cannot tell. */
+bool HasPeerClosed(boost::asio::ip::tcp::socket& aSocket);
+
 } // namespace skylarkchute
--- a/tests/skylarkchute_relay/DepartedCallerTests.cpp
+++ b/tests/skylarkchute_relay/DepartedCallerTests.cpp
@@ -60,17 +60,14 @@
   CHECK(endpoint.mRequests.size() == 1);
 }
 
-TEST_CASE("an endpoint stops work for a caller that leaves after it has sent more than is buffered",
-          "[!shouldfail]")
+TEST_CASE("an endpoint stops work for a caller that leaves after it has sent more than is buffered")
 {
   RelayFixture relay;
   bool isClosed = false;
-  FakeEndpoint::Socket held;
   FakeEndpoint endpoint(relay.mLoop, [&](const std::string& aRequest, const auto& aSocket) {
-    held = aSocket;
     WriteAll(aSocket, StreamResponseHead(aRequest) + EventChunk(1));
-    held->async_wait(boost::asio::ip::tcp::socket::wait_error,
-                     [&](const boost::system::error_code&) { isClosed = true; });
+    aSocket->async_wait(boost::asio::ip::tcp::socket::wait_read,
+                        [&](const boost::system::error_code&) { isClosed = true; });
   });
   relay.AddEndpoint("e1", endpoint.Address());
   const auto caller = relay.Connect();
@@ -79,7 +76,31 @@
   REQUIRE(relay.RunUntil([&] { return answer->find("id: 1") != std::string::npos; }));
   relay.Send(caller, std::string(80 * 1024, 'x'));
   RunFor(relay, milliseconds(100));
+  REQUIRE_FALSE(isClosed);
+  caller->shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+  RunFor(relay, milliseconds(400));
+  CHECK(isClosed);
+}
+
+TEST_CASE("a stream that waits for an endpoint is not resumed once its caller has left")
+{
+  RelayFixture relay;
+  FakeEndpoint broken(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(aSocket, StreamResponseHead(aRequest) + EventChunk(1));
+    aSocket->close();
+  });
+  FakeEndpoint other(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(aSocket, StreamResponseHead(aRequest) + EventChunk(2) + "0\r\n\r\n");
+  });
+  relay.AddEndpoint("e1", broken.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller, CallerRequest("POST", "/chat/1", "r1", "x"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("id: 1") != std::string::npos; }));
+  broken.StopListening();
+  RunFor(relay, milliseconds(50));
+  relay.AddEndpoint("e2", other.Address());
   caller->close();
-  RunFor(relay, milliseconds(300));
-  CHECK((isClosed || relay.mServer.IsBusy() == false));
+  RunFor(relay, milliseconds(600));
+  CHECK(other.mRequests.empty());
 }
