--- a/tests/skylarkchute_relay/EndpointNoticeTests.cpp
+++ b/tests/skylarkchute_relay/EndpointNoticeTests.cpp
@@ -94,3 +94,53 @@
   CHECK(fixture.Send(10).find("503") == std::string::npos);
   CHECK(fixture.mFirst.mRequests.size() == 1);
 }
+
+TEST_CASE("a pause is kept to whatever the answer that names it looks like")
+{
+  RelayFixture relay;
+  std::string form;
+  FakeEndpoint first(relay.mLoop, [&](const std::string& aRequest, const auto& aSocket) {
+    const auto id = aRequest.find("Skylarkchute-Request-Id: ");
+    const auto idLine = aRequest.substr(id, aRequest.find("\r\n", id) - id) + "\r\n";
+    WriteAll(aSocket, "HTTP/1.1 503 X\r\n" + idLine + form);
+    aSocket->close();
+  });
+  FakeEndpoint other(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(aSocket, SealedResponse(aRequest, 200, "done"));
+  });
+  const std::string notRun = "Skylarkchute-Not-Executed: 1\r\n";
+  SECTION("with a length")
+  {
+    form = notRun + "Retry-After: 2\r\nContent-Length: 0\r\n\r\n";
+  }
+  SECTION("with a fraction")
+  {
+    form = notRun + "Retry-After:  1.5 \r\nContent-Length: 0\r\n\r\n";
+  }
+  SECTION("without a length")
+  {
+    form = notRun + "Retry-After: 2\r\n\r\nbusy";
+  }
+  SECTION("in chunks")
+  {
+    form = notRun + "Retry-After: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+  }
+  SECTION("broken off in its body")
+  {
+    form = notRun + "Retry-After: 2\r\nContent-Length: 9\r\n\r\nbu";
+  }
+  SECTION("without saying that it did not run the request")
+  {
+    form = "Retry-After: 2\r\nSkylarkchute-Response-Seal: s\r\nContent-Length: 0\r\n\r\n";
+  }
+  relay.AddEndpoint("first", first.Address());
+  for (int n = 0; n < 6; ++n) {
+    const auto caller = relay.Connect();
+    const auto answer = relay.ReceiveAsync(caller);
+    relay.Send(caller, CallerRequest("GET", "/check/1", "r" + std::to_string(n)));
+    REQUIRE(relay.RunUntil([&] { return answer->find("\r\n\r\n") != std::string::npos; }));
+    relay.AddEndpoint("other", other.Address());
+  }
+  CHECK(first.mRequests.size() == 1);
+  CHECK(other.mRequests.size() >= 5);
+}
