--- a/tests/skylarkchute_relay/StoreMirrorTests.cpp
+++ b/tests/skylarkchute_relay/StoreMirrorTests.cpp
@@ -260,3 +260,15 @@
     CHECK(to.mMirror.Era() == era);
   }
 }
+
+TEST_CASE("a configuration keeps the text with which another instance passes it on")
+{
+  // Guards against writing it anew: with 2,000 routes that is a third of the time for which the
+  // event loop stands still.
+  const std::string text = R"({ "Metadata": { "Name": "main", "Revision": 3 }, "Spec": {} })";
+  const auto objects = UnpackObjects(PackSnapshot({ 10, { { "main", 3, false, text } } }));
+  REQUIRE(objects);
+  REQUIRE(objects->size() == 1);
+  CHECK(objects->at(0).mText == text);
+  CHECK(objects->at(0).mRevision == 3);
+}
