--- a/tests/skylarkchute_routing/FleetFixture.cpp
+++ b/tests/skylarkchute_routing/FleetFixture.cpp
@@ -35,7 +35,8 @@
 
 } // namespace
 
-FleetFixture::FleetFixture() : mRouter(IncarnationId("own~1"), ZoneName("a"), TestBounds(), 7)
+FleetFixture::FleetFixture(const std::string& aZone, std::uint64_t aSeed, bool aIsEngine)
+  : mRouter(IncarnationId("own~1"), ZoneName(aZone), TestBounds(), aSeed)
 {
   RelayConfig config;
   config.mVersion = 1;
@@ -45,7 +46,7 @@
                      Route("check", RequestKind::Idempotent, 2) };
   RelayService service;
   service.mName = ServiceName("svc");
-  service.mEngineSlots = 64;
+  service.mEngineSlots = aIsEngine ? 64 : 0;
   service.mMaxConnections = 90;
   config.mServices = { service };
   mRouter.SetConfig(std::make_shared<const ConfigIndex>(std::move(config)));
--- a/tests/skylarkchute_routing/FleetFixture.h
+++ b/tests/skylarkchute_routing/FleetFixture.h
@@ -7,16 +7,22 @@
 
 namespace skylarkchute {
 
-/** A router with a manual clock and the service `svc`. Its routes are `/chat/` (stream with three
-    model sizes, most urgent), `/note/` (the same, less urgent), `/order/` (non-idempotent) and
+/** A router with a manual clock and the service `svc`. Its routes are `/chat/`
+   (stream with three model sizes, most urgent), `/note/` (the same, less
+   urgent), `/order/` (non-idempotent) and
     `/check/` (idempotent). */
 class FleetFixture
 {
 public:
-  FleetFixture();
-
-  /** Adds endpoints `PREFIX0`, `PREFIX1`, ... with 64 slots each. Those with even numbers are in
-      the availability zone of the router. */
+  /** @param aZone  availability zone of the router
+      @param aSeed  seed of the router
+      @param aIsEngine  the endpoints are model engines */
+  explicit FleetFixture(const std::string& aZone = "a",
+                        std::uint64_t aSeed = 7,
+                        bool aIsEngine = true);
+
+  /** Adds endpoints `PREFIX0`, `PREFIX1`, ... with 64 slots each. Those with
+     even numbers are in the availability zone `a`. */
   void AddEndpoints(const std::string& aPrefix, int aCount, const std::string& aVersion = "v1");
 
   /** Admits a request and requires success.
