Requests are refused before brittle endpoints reject them

What callers saw: brittle endpoints fell over one after the other, their streams broke off, and the rest of the fleet was overrun. Cause: Server-Brittle was not read, a rejection taught an instance nothing, and each rejected request went at once to up to three more endpoints; nothing but endpoints refused a request for want of room. Class: a bound on the sum over all instances, of which no instance kept its part.

BrittleAdmission refuses a share of the requests while endpoints report little room, leaves an endpoint out for so long after a rejection that all instances together stay below what it survives, and sends a rejected request to no further brittle endpoint. Nothing changes where no endpoint is brittle.

--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -586,7 +586,11 @@
     Finish();
     return;
   }
-  if (mHasStreamStarted && mContext.mRouter.MayAttemptLater(*mPlan, aRefusal.mReason)) {
+  // A request that may have run cannot be refused, so it waits until brittle endpoints have room.
+  const bool isBrittle = mContext.mRouter.Brittle().IsBrittle(mPlan->mService);
+  const bool waits = mHasStreamStarted || (mPlan->mRuns > 0 && isBrittle &&
+                                           aRefusal.mReason == RefusalReason::EndpointsLimited);
+  if (waits && mContext.mRouter.MayAttemptLater(*mPlan, aRefusal.mReason)) {
     WaitForAttempt();
     return;
   }
@@ -613,7 +617,7 @@
   Refuse(aRefusal);
 }
 
-/** Tries again after a while to go on with a stream, also at endpoints that did not before. */
+/** Tries again after a while, also at endpoints that did not answer before. */
 void RelayedRequest::WaitForAttempt()
 {
   mPlan->mTried.clear();
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -186,6 +186,9 @@
       mMetrics.Set("skylarkchute_pressure",
                    "service=\"" + it.mName.Value() + "\"",
                    mRouter.Endpoints().Pressure(it.mName, Now()));
+      mMetrics.Set("skylarkchute_brittle_share",
+                   "service=\"" + it.mName.Value() + "\"",
+                   mRouter.Brittle().ShareOf(it.mName));
     }
   }
   return { kOk, "text/plain", mMetrics.PrometheusText() };
--- a/modules/skylarkchute_routing/fleet/FleetRouter.cpp
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.cpp
@@ -154,14 +154,19 @@
   });
 }
 
+/** Returns whether the endpoints of a service are model engines. */
+bool FleetRouter::IsEngine(const ServiceName& aService) const
+{
+  const auto* service = mConfig == nullptr ? nullptr : mConfig->FindService(aService);
+  return service != nullptr && service->mEngineSlots > 0;
+}
+
 RelayRefusal FleetRouter::Refuse(const RequestPlan& aPlan,
                                  RefusalReason aReason,
                                  TimePoint aNow) const
 {
-  const auto* service = aPlan.mConfig->FindService(aPlan.mService);
-  const bool isEngine = service != nullptr && service->mEngineSlots > 0;
   const auto third = Until(aPlan.mEnd, aNow) / 3;
-  const auto delay = isEngine ? kEngineRetryAfter : kShortRetryAfter;
+  const auto delay = IsEngine(aPlan.mService) ? kEngineRetryAfter : kShortRetryAfter;
   return { aReason, std::max(milliseconds(0), std::min(delay, third)) };
 }
 
@@ -176,6 +181,7 @@
   for (auto* it : aRows) {
     wait = std::min(wait, it->mNotices.WaitTime(aNow));
   }
+  wait = std::max(wait, mBrittle.WaitTime(aRows, aNow));
   const auto third = std::max(milliseconds(0), Until(aPlan.mEnd, aNow) / 3);
   const double spread = std::uniform_real_distribution<double>(1, 2)(mRandom);
   refusal.mRetryAfter =
@@ -183,6 +189,12 @@
   return refusal;
 }
 
+/** Returns a random number, 0 to 1. */
+double FleetRouter::Draw()
+{
+  return std::uniform_real_distribution<double>(0, 1)(mRandom);
+}
+
 SizeInputs FleetRouter::SizeInputsOf(const RequestPlan& aPlan,
                                      std::uint32_t aRuns,
                                      TimePoint aNow) const
@@ -254,6 +266,9 @@
   mRollouts.SelectVersion(aPlan.mService, aPlan.mSession, rows, aNow);
   auto permitted = rows;
   std::erase_if(permitted, [&](FleetRow* aRow) { return !aRow->mNotices.Allows(aNow); });
+  if (mBrittle.IsBrittle(aPlan.mService)) {
+    mBrittle.RemoveFull(permitted, { aPlan.mRank, aPlan.mWasRejected, Draw() }, aNow);
+  }
   if (permitted.empty() && !rows.empty()) {
     return RefuseLimited(aPlan, rows, aNow);
   }
@@ -446,6 +461,7 @@
     row->mReport = aLoad;
     row->mReportedAt = aNow;
     row->mOutstandingAtReport = row->mOutstanding;
+    mBrittle.OnReport(*row, IsEngine(row->mEntry.mService), aNow);
   }
 }
 
@@ -458,6 +474,9 @@
     return {};
   }
   const auto change = row->mNotices.OnNotice(aNotice, aNow);
+  if (change.mRejectionLimit) {
+    mBrittle.Update(mEndpoints, aNow);
+  }
   if (change.mLimit) {
     mEndpoints.UpdateLimitShares(mLimitShares, aNow);
   }
@@ -531,6 +550,9 @@
   if (aOutcome == RelayOutcome::Unreachable || aOutcome == RelayOutcome::TimedOut ||
       aOutcome == RelayOutcome::Lost) {
     OnNotReached(aPlan, aAttempt, aNow);
+    if (auto* row = mEndpoints.Find(aAttempt.mEndpoint)) {
+      mBrittle.OnNotReached(*row, mEndpoints);
+    }
   }
   const bool wasCountedSlow = EndWait(aAttempt);
   if (aOutcome != RelayOutcome::Answered && aOutcome != RelayOutcome::Superseded &&
@@ -546,9 +568,14 @@
       mSuspects.OnSuccess(aPlan.mFingerprint);
       mPartSuspects.OnAnswered(aPlan.mSharedParts, aAttempt.Incarnation(), aNow);
       return;
+    case RelayOutcome::NotRun:
+      aPlan.mWasRejected = true;
+      if (row != nullptr && mBrittle.IsBrittle(aPlan.mService)) {
+        mBrittle.OnRejected(*row, Draw(), aNow);
+      }
+      return;
     case RelayOutcome::Superseded:
     case RelayOutcome::Abandoned:
-    case RelayOutcome::NotRun:
     case RelayOutcome::Misdirected:
       return;
     case RelayOutcome::Failed:
@@ -631,6 +658,7 @@
   mInstances = std::max<std::size_t>(aInstances, 1);
   mRollouts.SetInstances(mInstances);
   mEndpoints.SetInstances(mInstances);
+  mBrittle.SetInstances(mInstances);
 }
 
 void FleetRouter::SetInstances(InstanceId aSelf, const std::vector<InstanceId>& aOthers)
@@ -645,6 +673,7 @@
 {
   CountOverdueAnswers(aNow);
   mEndpoints.UpdateLimitShares(mLimitShares, aNow);
+  mBrittle.Update(mEndpoints, aNow);
   mRollouts.Prune(aNow);
   mSuspects.Prune(aNow);
   mPartSuspects.Prune(aNow);
--- a/modules/skylarkchute_routing/fleet/FleetRouter.h
+++ b/modules/skylarkchute_routing/fleet/FleetRouter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "BrittleAdmission.h"
 #include "CrashSuspects.h"
 #include "FleetTable.h"
 #include "LatencyBaseline.h"
@@ -140,6 +141,7 @@
   CrashSuspects& Suspects() { return mSuspects; }
   PromptPartSuspects& PartSuspects() { return mPartSuspects; }
   PeerForwarding& Forwarding() { return mForwarding; }
+  const BrittleAdmission& Brittle() const { return mBrittle; }
 
   /** Removes expired state, and counts answers that are overdue in rollouts. To be called several
       times a second.
@@ -162,6 +164,8 @@
   RelayRefusal RefuseLimited(const RequestPlan& aPlan,
                              const std::vector<FleetRow*>& aRows,
                              TimePoint aNow);
+  double Draw();
+  bool IsEngine(const ServiceName& aService) const;
   double OthersFailureRate(const ServiceName& aService,
                            const EndpointId& aEndpoint,
                            TimePoint aNow) const;
@@ -190,6 +194,7 @@
   PromptPartSuspects mPartSuspects;
   LatencyBaseline mLatencies;
   EndpointLimitShares mLimitShares;
+  BrittleAdmission mBrittle;
   PeerForwarding mForwarding;
   std::map<ServiceName, RetryWindow> mRetryWindows;
   std::map<std::uint64_t, AwaitedAnswer> mAwaited; /**< By number of the attempt. */
--- a/modules/skylarkchute_routing/fleet/FleetTable.h
+++ b/modules/skylarkchute_routing/fleet/FleetTable.h
@@ -3,6 +3,7 @@
 #include "EndpointDepartures.h"
 #include "EndpointHealth.h"
 #include "EndpointLimitShares.h"
+#include "EndpointRoom.h"
 #include "FleetEndpoint.h"
 
 #include <map>
@@ -12,20 +13,13 @@
 
 namespace skylarkchute {
 
-/** Load that an endpoint reported with an answer, in requests. */
-struct ReportedLoad
-{
-  std::uint32_t mRunning = 0;
-  std::uint32_t mWaiting = 0;
-  std::uint32_t mSlots = 0;
-};
-
 /** State that this instance keeps for one endpoint. */
 struct FleetRow
 {
   FleetEndpoint mEntry;
   EndpointHealth mHealth;
   EndpointNotices mNotices;
+  EndpointRoom mRoom;
   std::uint32_t mOutstanding = 0; /**< Attempts of this instance in progress. */
   std::uint32_t mOutstandingAtReport = 0;
   ReportedLoad mReport;
--- a/modules/skylarkchute_routing/fleet/RelayRequest.h
+++ b/modules/skylarkchute_routing/fleet/RelayRequest.h
@@ -82,6 +82,7 @@
   std::uint32_t mNotReached = 0;    /**< Endpoints that could not be reached. */
   std::uint32_t mForwards = 0;      /**< Attempts through another instance. */
   std::uint32_t mSends = 0;         /**< Attempts that were sent to an endpoint. */
+  bool mWasRejected = false;        /**< An endpoint did not run an attempt. */
   std::vector<EndpointId> mTried;   /**< Endpoints where an attempt did not succeed. */
 };
 
