A crash of many endpoints is not taken for a partition

In a burst with a crash of 0.3 of 93 endpoints, 226 instances logged 1148 (97 within the first second) and sent their requests through each other, up to 16 sends of one request: three endpoints in a row that could not be reached were enough. Now one in ten of the endpoints, three at least and eight at most, have to fail in a row. Fleets of fewer than 40 endpoints are not changed.

--- a/modules/skylarkchute_routing/fleet/PeerForwarding.cpp
+++ b/modules/skylarkchute_routing/fleet/PeerForwarding.cpp
@@ -8,9 +8,12 @@
 
 using std::chrono::milliseconds;
 
-/** An instance counts as partitioned once this many endpoints in a row could not be reached, or all
-    of them if there are fewer, within kEvidenceLifetime and without an answer of any other. */
-constexpr std::size_t kPartitionEndpoints = 3;
+/** An instance counts as partitioned once one in kPartitionShare endpoints in a row, within these
+    bounds, or all of them if there are fewer, could not be reached within kEvidenceLifetime and
+    without an answer of any other. Where many endpoints crash at once, a few in a row are down. */
+constexpr std::size_t kPartitionShare = 10;
+constexpr std::size_t kMinPartitionEndpoints = 3;
+constexpr std::size_t kMaxPartitionEndpoints = 8;
 constexpr milliseconds kEvidenceLifetime{ 2000 };
 
 /** Maximum number of requests that this instance forwards to one other at a time. */
@@ -56,7 +59,9 @@
   mNotReached[aEndpoint] = aNow;
   std::erase_if(mNotReached,
                 [&](const auto& aEntry) { return aNow - aEntry.second > kEvidenceLifetime; });
-  mIsPartitioned = mNotReached.size() >= std::min(kPartitionEndpoints, aEndpoints);
+  const auto required =
+    std::clamp(aEndpoints / kPartitionShare, kMinPartitionEndpoints, kMaxPartitionEndpoints);
+  mIsPartitioned = mNotReached.size() >= std::min(required, aEndpoints);
   mNextProbe = aNow + kProbeInterval;
 }
 
