--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -208,8 +208,8 @@
   mEndsWithConnection = aReader.EndsWithConnection();
   const bool isValid =
     mEndpointHead.mHasSeal && !mEndpointHead.mHasContentEncoding && mEndpointHead.mRequestId == mId;
-  mIsStream =
-    mPlan->mRoute->mKind == RequestKind::Stream && isValid && IsSuccess(mEndpointHead.mStatus);
+  mIsStream = mPlan->mRoute->mKind == RequestKind::Stream && isValid &&
+              IsSuccess(mEndpointHead.mStatus) && !IsHead();
   if (!mIsStream) {
     AwaitMore();
     return HeadChoice::Accept;
@@ -678,8 +678,12 @@
   mContext.mMetrics.Add("skylarkchute_own_answers_total",
                         "status=\"" + std::to_string(aStatus) + "\"");
   if (const auto responder = mResponder.lock()) {
-    responder->SendResponse(
-      EncodeErrorResponse(aStatus, mId, aReason, aRetryAfter, responder->ClosesAfterResponse()));
+    auto response =
+      EncodeErrorResponse(aStatus, mId, aReason, aRetryAfter, responder->ClosesAfterResponse());
+    if (IsHead()) {
+      response.resize(response.size() - aReason.size());
+    }
+    responder->SendResponse(std::move(response));
   }
   Finish();
 }
--- a/modules/skylarkchute_relay/requests/RelayedRequest.h
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.h
@@ -57,6 +57,9 @@
     AnswerMemory::Share mMemory;
   };
 
+  /** Returns whether the response has no body, whatever its head says. */
+  bool IsHead() const { return mHead.mMethod == "HEAD"; }
+
   void AdmitRequest(const RelayRequest& aRequest);
   void StartAttempt(bool aWantsLargerModel);
   void SendAttempt(AttemptPlan aAttempt);
--- a/tests/skylarkchute_relay/CallerTests.cpp
+++ b/tests/skylarkchute_relay/CallerTests.cpp
@@ -140,3 +140,30 @@
   fixture.RunUntil([end] { return std::chrono::steady_clock::now() >= end; });
   CHECK(fixture.mStartupQueue.IsHolding());
 }
+
+TEST_CASE("the refusal of a HEAD request has no body")
+{
+  RelayFixture relay;
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller, CallerRequest("HEAD", "/check/1", "r1"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("\r\n\r\n") != std::string::npos; }));
+  relay.Send(caller, CallerRequest("GET", "/check/1", "r2"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("HTTP/1.1 503", 1) != std::string::npos; }));
+  CHECK(answer->substr(answer->find("\r\n\r\n") + 4).find("HTTP/1.1 503") == 0);
+}
+
+TEST_CASE("a stream's endpoint that answers a HEAD request leaves no bytes after the head")
+{
+  RelayFixture relay;
+  FakeEndpoint endpoint(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(aSocket, StreamResponseHead(aRequest));
+  });
+  relay.AddEndpoint("e1", endpoint.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller, CallerRequest("HEAD", "/chat/1", "r1"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("\r\n\r\n") != std::string::npos; }));
+  CHECK(answer->find("HTTP/1.1 200") == 0);
+  CHECK(answer->substr(answer->find("\r\n\r\n") + 4).empty());
+}
