A request whose body has no certain end is refused

It is refused with 400 and the connection closed (RFC 7230, 3.3.3). The test covers four codings and three pairs of lengths.

--- a/modules/skylarkchute_relay/http/RequestReader.cpp
+++ b/modules/skylarkchute_relay/http/RequestReader.cpp
@@ -24,6 +24,10 @@
     mError = RequestError::BodyTooLarge;
   } else if (ec) {
     mError = RequestError::Malformed;
+  } else if (HasHead() && !mParser->get().chunked() &&
+             mParser->get().count(http::field::transfer_encoding) > 0) {
+    // The length of such a body is unknown (RFC 7230, 3.3.3).
+    mError = RequestError::Malformed;
   }
   return taken;
 }
--- a/tests/skylarkchute_relay/CallerTests.cpp
+++ b/tests/skylarkchute_relay/CallerTests.cpp
@@ -167,3 +167,28 @@
   CHECK(answer->find("HTTP/1.1 200") == 0);
   CHECK(answer->substr(answer->find("\r\n\r\n") + 4).empty());
 }
+
+TEST_CASE("a request whose body has no certain end is refused, and what follows it is not read")
+{
+  const auto* const framing = GENERATE("Transfer-Encoding: gzip",
+                                       "Transfer-Encoding: identity",
+                                       "Transfer-Encoding: xchunked",
+                                       "Transfer-Encoding: chunked, gzip",
+                                       "Content-Length: 5\r\nContent-Length: 6",
+                                       "Content-Length: 5\r\nTransfer-Encoding: chunked",
+                                       "Transfer-Encoding: chunked\r\nContent-Length: 5");
+  RelayFixture relay;
+  FakeEndpoint endpoint(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(aSocket, SealedResponse(aRequest, 200, "ran"));
+  });
+  relay.AddEndpoint("e1", endpoint.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller,
+             "POST /order/1 HTTP/1.1\r\nHost: site\r\nSkylarkchute-Request-Id: r1\r\n" +
+               std::string(framing) + "\r\n\r\n" + CallerRequest("POST", "/order/2", "r2", "x"));
+  INFO(framing);
+  CHECK(relay.RunUntil([&] { return relay.mIsClosed.at(0); }));
+  CHECK(answer->find("HTTP/1.1 400") == 0);
+  CHECK(endpoint.mRequests.empty());
+}
