--- a/modules/skylarkchute_core/skylarkchute_core.h
+++ b/modules/skylarkchute_core/skylarkchute_core.h
@@ -24,4 +24,5 @@
 #include "time/Clock.h"
 #include "time/ManualClock.h"
 #include "time/SystemClock.h"
+#include "json/JsonSplitter.h"
 #include "json/JsonText.h"
