A refusal without this request's id promises nothing

An answer without an id that says "not run" counted as this request's refusal, so that an order could go on to a second endpoint, or be answered 503, although the first one runs it. The refusal may be of an earlier request on the kept connection: it now counts as "may have run".

--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -448,6 +448,10 @@
 RelayOutcome RelayedRequest::OutcomeOfFailure() const
 {
   const auto& head = mEndpointHead;
+  if (head.mRequestId != mId) {
+    // It may be of an earlier request on the connection, so it promises nothing.
+    return RelayOutcome::Damaged;
+  }
   if (head.mStatesNotRun) {
     return head.mIsMisdirected ? RelayOutcome::Misdirected : RelayOutcome::NotRun;
   }
--- a/tests/skylarkchute_relay/AttemptTests.cpp
+++ b/tests/skylarkchute_relay/AttemptTests.cpp
@@ -457,3 +457,29 @@
   relay.Send(caller, CallerRequest("POST", "/check/1", "s1", "harmless"));
   REQUIRE(relay.RunUntil([&] { return answer->find("fine") != std::string::npos; }));
 }
+
+TEST_CASE("a refusal that may be of an earlier request does not count as one of this request")
+{
+  RelayFixture relay;
+  FakeEndpoint endpoint(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    const bool isFirst = aRequest.find("/check/") != std::string::npos;
+    WriteAll(aSocket,
+             isFirst ? SealedResponse(aRequest, 200, "x")
+                     : "HTTP/1.1 503 Busy\r\nSkylarkchute-Not-Executed: 1\r\n"
+                       "Content-Length: 0\r\n\r\n");
+  });
+  FakeEndpoint other(relay.mLoop, [](const std::string& aRequest, const auto& aSocket) {
+    WriteAll(aSocket, SealedResponse(aRequest, 200, "twice"));
+  });
+  relay.AddEndpoint("e1", endpoint.Address());
+  const auto caller = relay.Connect();
+  const auto answer = relay.ReceiveAsync(caller);
+  relay.Send(caller, CallerRequest("GET", "/check/1", "r1"));
+  REQUIRE(relay.RunUntil([&] { return answer->find("HTTP/1.1 200") != std::string::npos; }));
+  relay.Send(caller, CallerRequest("POST", "/order/1", "r2", "x"));
+  REQUIRE(relay.RunUntil([&] { return endpoint.mRequests.size() == 2; }));
+  relay.AddEndpoint("e2", other.Address());
+  REQUIRE(relay.RunUntil([&] { return answer->find("HTTP/1.1 ", 1) != std::string::npos; }));
+  CHECK(answer->find("HTTP/1.1 502") != std::string::npos);
+  CHECK(other.mRequests.empty());
+}
