SIGHUP is held back until it is handled

The signal is blocked before the settings are read and let through once its handler is set. What arrives before main() still ends the process.

--- a/app/relay/RelayCommand.cpp
+++ b/app/relay/RelayCommand.cpp
@@ -6,6 +6,7 @@
 #include <boost/program_options.hpp>
 #include <skylarkchute_relay/skylarkchute_relay.h>
 
+#include <csignal>
 #include <ostream>
 
 namespace skylarkchute {
@@ -17,12 +18,22 @@
 /** Length in bytes of the random part of an incarnation id. */
 constexpr std::size_t kIncarnationBytes = 8;
 
+/** Holds SIGHUP, which ends a process by default, back until RelayRuntime handles it. */
+void BlockHangup()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 } // namespace
 
 int RunRelayCommand(const std::vector<std::string>& aArguments,
                     std::ostream& aOut,
                     std::ostream& aErrors)
 {
+  BlockHangup();
   std::string file;
   bool checksOnly = false;
   options::options_description description("skylarkchute relay");
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -40,6 +40,15 @@
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kNotFound = 404;
 
+/** Lets signals through that arrived before their handlers were set. */
+void UnblockHangup()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 TimePoint Now()
 {
   return std::chrono::steady_clock::now();
@@ -133,6 +142,7 @@
     { &kRelayStarted,
       { { "incarnation", mSelf.mIncarnation }, { "callers", mSettings.mCallerAddress } } });
   WaitForSignal();
+  UnblockHangup();
   mStartupQueue.StartHolding();
   mLastTick = Now();
   UpdateStoreRole(mLastTick);
