--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -199,7 +199,8 @@
   1151,
   EventLevel::Info,
   "endpoint-brittle",
-  "An endpoint began to name the rejections per second above which it fails, or names none any more."
+  "An endpoint began to name the rejections per second above which it fails, or names none any "
+  "more."
 };
 
 /** Returns all events of this module. */
--- a/modules/skylarkchute_routing/fleet/EndpointNotices.h
+++ b/modules/skylarkchute_routing/fleet/EndpointNotices.h
@@ -27,8 +27,8 @@
 struct NoticeChange
 {
   bool mBeganToLeave = false;
-  bool mPause = false; /**< The endpoint asked for a pause while none was in force. */
-  bool mLimit = false; /**< The endpoint began to name a limit, or names none any more. */
+  bool mPause = false;          /**< The endpoint asked for a pause while none was in force. */
+  bool mLimit = false;          /**< The endpoint began to name a limit, or names none any more. */
   bool mRejectionLimit = false; /**< The endpoint began to say that it is brittle, or is no more. */
 };
 
