--- a/modules/skylarkchute_relay/http/RequestReader.cpp
+++ b/modules/skylarkchute_relay/http/RequestReader.cpp
@@ -22,16 +22,19 @@
     mError = RequestError::HeadTooLarge;
   } else if (ec == http::error::body_limit) {
     mError = RequestError::BodyTooLarge;
-  } else if (ec) {
-    mError = RequestError::Malformed;
-  } else if (HasHead() && !mParser->get().chunked() &&
-             mParser->get().count(http::field::transfer_encoding) > 0) {
-    // The length of such a body is unknown (RFC 7230, 3.3.3).
+  } else if (ec || HasUncertainLength()) {
     mError = RequestError::Malformed;
   }
   return taken;
 }
 
+/** Returns whether nothing tells where the body ends (RFC 7230, 3.3.3). */
+bool RequestReader::HasUncertainLength() const
+{
+  return HasHead() && !mParser->get().chunked() &&
+         mParser->get().count(http::field::transfer_encoding) > 0;
+}
+
 bool RequestReader::ExpectsContinue() const
 {
   return boost::beast::iequals(mParser->get()[http::field::expect], "100-continue");
--- a/modules/skylarkchute_relay/http/RequestReader.h
+++ b/modules/skylarkchute_relay/http/RequestReader.h
@@ -47,6 +47,8 @@
 private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  bool HasUncertainLength() const;
+
   std::unique_ptr<Parser> mParser;
   RequestError mError = RequestError::None;
 };
