What goes on with a stream of numbered events must have numbers

Callers of other operators found an error's text in the middle of their stream. Six forms of it do not reach callers here; a seventh did: a success with seal and id whose body ends like an event was passed on within a resumed stream, and ended it as if it were complete. An attempt that goes on with a stream of numbered events is now dropped if its first event has none.

--- a/modules/skylarkchute_relay/requests/RelayedRequest.cpp
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.cpp
@@ -119,6 +119,7 @@
   mHasProgress = false;
   mIsSilent = false;
   mIsStream = false;
+  mNeedsEventId = mLastEventId.has_value();
   mEndpointHead = EndpointHead{};
   mResponse = BufferedResponse{};
   mResponse.mMemory = AnswerMemory::Share(mContext.mAnswerMemory);
@@ -326,7 +327,8 @@
 }
 
 /** Sends the caller the events that it has not received yet.
-    @returns false when the event IDs have a gap; events after the gap are not sent */
+    @returns false when the event IDs have a gap, or when what goes on with a stream of numbered
+             events has none; the events from there on are not sent */
 bool RelayedRequest::ForwardEvents(const std::vector<StreamEvent>& aEvents)
 {
   const auto responder = mResponder.lock();
@@ -338,6 +340,11 @@
   std::string bytes;
   bool isContiguous = true;
   for (const auto& it : aEvents) {
+    if (mNeedsEventId && !it.mId) {
+      isContiguous = false;
+      break;
+    }
+    mNeedsEventId = false;
     if (it.mId && mLastEventId && *it.mId <= *mLastEventId) {
       continue;
     }
--- a/modules/skylarkchute_relay/requests/RelayedRequest.h
+++ b/modules/skylarkchute_relay/requests/RelayedRequest.h
@@ -118,6 +118,7 @@
   BufferedResponse mResponse;
   EventSplitter mSplitter;
   bool mIsStream = false;
+  bool mNeedsEventId = false;       /**< The attempt goes on with a stream of numbered events. */
   bool mEndsWithConnection = false; /**< The response has neither a length nor chunks. */
 
   // State that outlives an attempt.
