--- a/tests/skylarkchute_routing/BrittleFleet.cpp
+++ b/tests/skylarkchute_routing/BrittleFleet.cpp
@@ -21,8 +21,7 @@
 /** Work with a smaller model as a part of that with the largest one. */
 constexpr double kModelWork[] = { 0.2, 0.4, 1.0 };
 
-/** Mean time in which an engine reads a prompt, during which no other request
- * starts. */
+/** Mean time in which an engine reads a prompt, during which no other request starts. */
 constexpr double kPromptMs = 35;
 
 /** Part of the work until the first byte. */
