--- a/review/standins-2/Harness.cpp
+++ b/review/standins-2/Harness.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <random>
 #include <sstream>
 #include <strings.h>
 #include <sys/prctl.h>
@@ -100,16 +101,19 @@
 
 int FreePort()
 {
+  // Below the ports that the system gives to outgoing connections.
+  constexpr int kFirst = 15000;
+  constexpr int kCount = 16000;
+  static std::mt19937 random{ std::random_device{}() };
   static std::set<int> given;
   while (true) {
+    const int port = kFirst + static_cast<int>(random() % kCount);
     const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    auto address = AddressOf(0);
-    socklen_t length = sizeof(address);
-    ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length);
+    const auto address = AddressOf(port);
+    const bool isFree =
+      ::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
     ::close(socket);
-    const int port = ntohs(address.sin_port);
-    if (given.insert(port).second) {
+    if (isFree && given.insert(port).second) {
       return port;
     }
   }
@@ -345,9 +349,16 @@
 
 bool Store::Gate::Handle(const Message& aRequest, Connection& aConnection)
 {
-  const auto answer =
-    mIsBusy ? Answer{ 503, Json::Value(Json::objectValue) } : mStore.Serve(aRequest);
+  const auto answer = mStore.Serve(aRequest);
   Sleep(milliseconds(mDelayMs));
+  if (mIsSilent) {
+    mStore.mRecord.Write("store: the answer to " + mName + " " + aRequest.mMethod + " " +
+                         aRequest.mTarget + " is lost");
+    while (!mStore.IsStopped()) {
+      Sleep(milliseconds(50));
+    }
+    return false;
+  }
   if (aRequest.mMethod != "GET") {
     mStore.mRecord.Write("store: " + mName + " " + aRequest.mMethod + " " + aRequest.mTarget +
                          " -> " + std::to_string(answer.first));
@@ -528,6 +539,12 @@
   mChanged.notify_all();
 }
 
+bool Store::IsStopped()
+{
+  const std::lock_guard lock(mMutex);
+  return mIsStopped;
+}
+
 Endpoint::Endpoint(Store& aStore, Record& aRecord, Options aOptions)
   : mStore(aStore)
   , mRecord(aRecord)
@@ -714,7 +731,7 @@
                      const std::string& aId,
                      const std::string& aBody,
                      milliseconds aDeadline,
-                     const std::vector<std::pair<std::string, std::string>>& aFields)
+                     const std::string& aKey)
 {
   if (!mConnection) {
     mConnection = Connection::To(mPort);
@@ -724,11 +741,8 @@
   }
   std::string text = aMethod + " " + aPath + " HTTP/1.1\r\nHost: " + kHost +
                      "\r\nSkylarkchute-Request-Id: " + aId +
-                     "\r\nSkylarkchute-Credential: " + kKey +
+                     "\r\nSkylarkchute-Credential: " + aKey +
                      "\r\nSkylarkchute-Deadline-Ms: " + std::to_string(aDeadline.count()) + "\r\n";
-  for (const auto& [name, value] : aFields) {
-    text.append(name).append(": ").append(value).append("\r\n");
-  }
   if (!aBody.empty() || aMethod == "POST") {
     text += "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
   }
--- a/review/standins-2/Harness.h
+++ b/review/standins-2/Harness.h
@@ -159,8 +159,8 @@
     /** Sets how long each answer takes. A watch is answered that much later. */
     void SetDelay(milliseconds aDelay) { mDelayMs = aDelay.count(); }
 
-    /** Answers all calls with 503, or no longer. */
-    void SetBusy(bool aIsBusy) { mIsBusy = aIsBusy; }
+    /** Loses the answers that are due meanwhile. Their connections return nothing further. */
+    void SetSilent(bool aIsSilent) { mIsSilent = aIsSilent; }
     void Stop() { mServer.Stop(); }
 
   private:
@@ -169,7 +169,7 @@
     Store& mStore;
     std::string mName;
     std::atomic<long> mDelayMs{ 4 };
-    std::atomic<bool> mIsBusy{ false };
+    std::atomic<bool> mIsSilent{ false };
     HttpServer mServer;
   };
 
@@ -183,6 +183,8 @@
   /** Ends the waits of watches. */
   void Stop();
 
+  bool IsStopped();
+
 private:
   using Answer = std::pair<int, Json::Value>;
 
@@ -299,6 +301,10 @@
   pid_t mPid = 0;
 };
 
+/** Host and key that the cases use. */
+inline constexpr const char* kHost = "boxes.example";
+inline constexpr const char* kKey = "key-of-dispatch";
+
 /** What a client saw of one request. */
 struct Outcome
 {
@@ -319,7 +325,7 @@
                const std::string& aId,
                const std::string& aBody,
                milliseconds aDeadline,
-               const std::vector<std::pair<std::string, std::string>>& aFields = {});
+               const std::string& aKey = kKey);
 
   void Close() { mConnection.reset(); }
   bool IsOpen() const { return mConnection != nullptr; }
@@ -329,10 +335,6 @@
   std::unique_ptr<Connection> mConnection;
 };
 
-/** Host and key that the cases use. */
-inline constexpr const char* kHost = "boxes.example";
-inline constexpr const char* kKey = "key-of-dispatch";
-
 /** Returns a route of a configuration. */
 Json::Value RouteOf(const std::string& aPrefix,
                     const std::string& aService,
@@ -340,7 +342,7 @@
                     int aTimeoutMs,
                     int aMaxAttempts);
 
-/** Returns a configuration with a tenant whose key is kKey. */
+/** Returns a configuration with a tenant whose only key is kKey. */
 Json::Value ConfigOf(int aVersion,
                      const std::vector<Json::Value>& aRoutes,
                      const std::vector<std::string>& aServices,
