--- a/modules/skylarkchute_relay/store/StoreWatcher.cpp
+++ b/modules/skylarkchute_relay/store/StoreWatcher.cpp
@@ -1,5 +1,7 @@
 #include "StoreWatcher.h"
 
+#include <json/writer.h>
+
 #include <algorithm>
 
 namespace skylarkchute {
@@ -101,6 +103,7 @@
 {
   if (aAfter.empty()) {
     mListing = KindSnapshot{};
+    mListedAfter.clear();
   }
   mCall->Start("GET",
                ListTarget(mKind, aAfter),
@@ -152,8 +155,8 @@
     mListing.mAsOf = page->mAsOf;
   }
   mListing.mObjects.insert(mListing.mObjects.end(), page->mObjects.begin(), page->mObjects.end());
-  if (page->mHasMore && !page->mObjects.empty()) {
-    List(page->mObjects.back().mName);
+  if (page->mHasMore) {
+    ListNextPage(*page);
     return;
   }
   const auto origin = mFailures > 0 ? ListOrigin::AfterOutage : mListener.OriginOfList();
@@ -165,6 +168,23 @@
   Watch(kWatchWait, kWatchWait + kWatchTimeoutMargin);
 }
 
+/** Lists on after the last object of a page. Fails if the page has none, or was listed after
+   before: the list would not end. */
+void StoreWatcher::ListNextPage(const StorePage& aPage)
+{
+  if (aPage.mObjects.empty()) {
+    RetryAfterFailure("a page of the list has no readable object");
+    return;
+  }
+  const auto& after = aPage.mObjects.back().mName;
+  if (!mListedAfter.insert(after).second) {
+    RetryAfterFailure("the list makes no progress after " +
+                      Json::valueToQuotedString(after.c_str()));
+    return;
+  }
+  List(after);
+}
+
 /** @param aWait  time after which the store answers without a change */
 void StoreWatcher::Watch(milliseconds aWait, milliseconds aTimeout)
 {
@@ -213,8 +233,13 @@
 
 void StoreWatcher::RetryAfterFailure(const CallResult& aResult)
 {
-  mListener.OnStoreFailure(
-    mKind, aResult.mHasResponse ? "status " + std::to_string(aResult.mStatus) : "no answer");
+  RetryAfterFailure(aResult.mHasResponse ? "status " + std::to_string(aResult.mStatus)
+                                         : "no answer");
+}
+
+void StoreWatcher::RetryAfterFailure(const std::string& aReason)
+{
+  mListener.OnStoreFailure(mKind, aReason);
   ++mFailures;
   ScheduleRetry();
 }
--- a/modules/skylarkchute_relay/store/StoreWatcher.h
+++ b/modules/skylarkchute_relay/store/StoreWatcher.h
@@ -3,6 +3,9 @@
 #include "../net/HttpCall.h"
 #include "StoreMirror.h"
 
+#include <set>
+#include <string>
+
 namespace skylarkchute {
 
 /** Receives the outcome of this instance's list and watch calls to the store. */
@@ -56,9 +59,11 @@
   void Watch(std::chrono::milliseconds aWait, std::chrono::milliseconds aTimeout);
   void Handle(const CallResult& aResult, void (StoreWatcher::*aHandler)(const CallResult&));
   void OnListed(const CallResult& aResult);
+  void ListNextPage(const StorePage& aPage);
   void OnWatched(const CallResult& aResult);
   std::uint64_t EraOfAnswer(const CallResult& aResult) const;
   void RetryAfterFailure(const CallResult& aResult);
+  void RetryAfterFailure(const std::string& aReason);
   void ScheduleRetry();
   void Retry();
 
@@ -69,8 +74,9 @@
   std::shared_ptr<HttpCall> mCall;
   boost::asio::steady_timer mPauseTimer;
   KindSnapshot mListing;
-  StoreVersion mWatchRevision = 0; /**< Last state received from the store itself. */
-  std::uint32_t mFailures = 0;     /**< Consecutive failed calls. */
+  std::set<std::string> mListedAfter; /**< Names that pages of mListing were listed after. */
+  StoreVersion mWatchRevision = 0;    /**< Last state received from the store itself. */
+  std::uint32_t mFailures = 0;        /**< Consecutive failed calls. */
   bool mIsStopped = true;
 };
 
