Notice changes of the store whose watch answers were lost

Cause: a waiting watch looks the same whether nothing has changed or its answer was lost; the probe notices a silence only if one of its reads falls into it, and then the watch's own timeout of 31.5 s is all that remains.

Change: the probe is an empty stale list, which names the store's revision. A revision without a change 0.8 s later was missed; the watches behind it are made again with a wait of 1 ms (event 1126). MissedChanges decides, free of I/O.

--- a/modules/skylarkchute_relay/events/RelayEvents.cpp
+++ b/modules/skylarkchute_relay/events/RelayEvents.cpp
@@ -22,6 +22,7 @@
            &kStoreFollowed,
            &kStoreNotFollowed,
            &kStoreRestored,
+           &kStoreChangesMissed,
            &kPeerLost,
            &kPeerRegained,
            &kRelayAttemptFailed,
--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -109,6 +109,14 @@
   "The platform's store was restored from a copy and began a new era; a newer configuration stays "
   "in force, entries that the copy lacks count as lapsed."
 };
+inline constexpr EventDescription kStoreChangesMissed{
+  1126,
+  EventLevel::Warning,
+  "store-changes-missed",
+  "The platform's store is at a later revision (`state`) than the changes received account for; "
+  "the "
+  "watches are made again, since an answer may be lost."
+};
 inline constexpr EventDescription kPeerLost{ 1130,
                                              EventLevel::Warning,
                                              "peer-lost",
--- a/modules/skylarkchute_relay/runtime/FleetSync.cpp
+++ b/modules/skylarkchute_relay/runtime/FleetSync.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/** Name of the only configuration object that is used. */
-constexpr const char* kConfigName = "main";
-
 std::string_view StateName(RolloutState aState)
 {
   switch (aState) {
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -111,15 +111,14 @@
   , mCrashProbe(mLoop, mRouter, mLog)
   , mStartupQueue(mLoop)
   , mSync(mRouter, mPool, mLog)
-  , mMirror(
-      [this](ObjectKind aKind, const StoreObject& aObject) { mSync.OnObject(aKind, aObject); })
+  , mMirror([this](ObjectKind aKind, const StoreObject& aObject) { OnObject(aKind, aObject); })
   , mMesh(mLoop, *this, mSelf, mSettings.mSeeds, mRandom())
   , mMirrorExchange(mMirror, FollowedKinds(mSettings.mEvacuationTime.has_value()))
   , mConfigExchange(mSync, mMirror)
   , mDepartureExchange(mRouter.Endpoints())
   , mLoadExchange(mRouter.Endpoints())
   , mFollowing(mSelf, IsContact(mSettings), mRandom(), Now())
-  , mStoreProbe(mLoop, mSettings.mStoreAddress, mSelf.mName)
+  , mStoreProbe(mLoop, mSettings.mStoreAddress)
   , mRecorder(mLoop,
               mSettings.mStoreAddress,
               mSelf,
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -7,6 +7,7 @@
 #include "../peers/DepartureExchange.h"
 #include "../peers/LoadExchange.h"
 #include "../peers/PeerMesh.h"
+#include "../store/MissedChanges.h"
 #include "../store/StoreProbe.h"
 #include "../store/StoreWatcher.h"
 #include "FleetSync.h"
@@ -51,9 +52,11 @@
   void OnPeerChanged(const MemberChange& aChange) override;
   void OnStoreSuccess(ObjectKind aKind) override;
   void OnStoreFailure(ObjectKind aKind, const std::string& aReason) override;
+  void OnStoreChange(StoreVersion aRevision) override;
   bool MayRetry(ObjectKind aKind) const override;
   ListOrigin OriginOfList() const override;
 
+  void OnObject(ObjectKind aKind, const StoreObject& aObject);
   void OnHandlerFailed(const std::string& aReason);
   bool Listen();
   bool IsReady() const;
@@ -79,6 +82,8 @@
   void UpdateStoreRole(TimePoint aNow);
   void UpdateStoreSilence(TimePoint aNow);
   void CatchUpWithEra();
+  StoreVersion KnownState() const;
+  void CatchUpWithMissedChanges(TimePoint aNow);
   void LogNewEra();
   void LogRefusedParts();
   void LogPartition();
@@ -110,6 +115,7 @@
   LoadViewMonitor mLoadView;
   StoreFollowing mFollowing;
   StoreProbe mStoreProbe;
+  MissedChanges mMissedChanges;
   StoreRecorder mRecorder;
   std::vector<std::shared_ptr<StoreWatcher>> mWatchers;
   bool mIsStoreSilent = false;             /**< The watches were started again because of it. */
--- a/modules/skylarkchute_relay/runtime/RelayRuntimeStore.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntimeStore.cpp
@@ -2,6 +2,9 @@
 
 #include "../events/RelayEvents.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace skylarkchute {
 
 namespace {
@@ -55,6 +58,34 @@
   }
 }
 
+/** Returns the state of the store up to which all kinds are known. */
+StoreVersion RelayRuntime::KnownState() const
+{
+  auto state = std::numeric_limits<StoreVersion>::max();
+  for (const auto& it : mWatchers) {
+    state = std::min(state, mMirror.AsOf(it->Kind()));
+  }
+  return state;
+}
+
+/** Makes the watchers catch up that may have missed changes: the answer to a watch may be lost in a
+    silence that is too short for the probe to notice. */
+void RelayRuntime::CatchUpWithMissedChanges(TimePoint aNow)
+{
+  mMissedChanges.OnStoreState(mStoreProbe.State());
+  const auto missed = mMissedChanges.TakeMissed(aNow);
+  if (!missed) {
+    return;
+  }
+  mLog.Write({ &kStoreChangesMissed, { { "state", std::to_string(RevisionOf(*missed)) } } });
+  mMetrics.Add("skylarkchute_store_catch_ups_total", "");
+  for (const auto& it : mWatchers) {
+    if (mMirror.AsOf(it->Kind()) < *missed) {
+      it->CatchUp();
+    }
+  }
+}
+
 /** Logs that the store was restored once a kind is known in the new era. */
 void RelayRuntime::LogNewEra()
 {
@@ -72,6 +103,7 @@
 /** Starts or stops watching the store as mFollowing decides. */
 void RelayRuntime::UpdateStoreRole(TimePoint aNow)
 {
+  mMissedChanges.OnKnownUpTo(KnownState());
   const bool wasFollowing = mMesh.Members().Role() != StoreRole::None;
   const bool isListed = mServedKinds.size() == mWatchers.size();
   const bool isServed = mFailedKinds.empty() && isListed && !mStoreProbe.IsSilent(aNow);
@@ -81,6 +113,7 @@
   if (wasFollowing && isListed) {
     UpdateStoreSilence(aNow);
     CatchUpWithEra();
+    CatchUpWithMissedChanges(aNow);
   }
   const auto role = mFollowing.Decide(mMesh.Members().LiveMembers(), aNow);
   mMesh.Members().SetRole(role);
@@ -122,6 +155,20 @@
   }
 }
 
+void RelayRuntime::OnStoreChange(StoreVersion aRevision)
+{
+  mMissedChanges.OnChange(aRevision);
+}
+
+void RelayRuntime::OnObject(ObjectKind aKind, const StoreObject& aObject)
+{
+  // A removal is known by the state in which the object was missing, not by its own revision.
+  if (!aObject.mIsDeleted) {
+    mMissedChanges.OnChange(aObject.mRevision);
+  }
+  mSync.OnObject(aKind, aObject);
+}
+
 void RelayRuntime::OnStoreFailure(ObjectKind aKind, const std::string& aReason)
 {
   if (mFailedKinds.empty()) {
--- a/modules/skylarkchute_relay/store/StoreProbe.cpp
+++ b/modules/skylarkchute_relay/store/StoreProbe.cpp
@@ -11,11 +11,8 @@
 
 } // namespace
 
-StoreProbe::StoreProbe(boost::asio::io_context& aContext,
-                       const std::string& aAddress,
-                       const std::string& aName)
-  : mTarget(StaleObjectTarget(ObjectKind::Instances, aName))
-  , mCall(std::make_shared<HttpCall>(aContext, aAddress))
+StoreProbe::StoreProbe(boost::asio::io_context& aContext, const std::string& aAddress)
+  : mCall(std::make_shared<HttpCall>(aContext, aAddress))
 {
 }
 
@@ -24,12 +21,16 @@
   if (mCall->IsBusy()) {
     return;
   }
-  mCall->Start("GET", mTarget, {}, kCallTimeout, [this](const CallResult& aResult) {
-    // The entry may not be written yet.
-    if (aResult.mHasResponse && (aResult.mStatus == kOk || aResult.mStatus == kNotFound)) {
-      mEra = aResult.mStoreEra.value_or(mEra);
-      OnAnswer(std::chrono::steady_clock::now());
+  mCall->Start("GET", StaleStateTarget(), {}, kCallTimeout, [this](const CallResult& aResult) {
+    // A store without objects of the kind may not know it.
+    if (!aResult.mHasResponse || (aResult.mStatus != kOk && aResult.mStatus != kNotFound)) {
+      return;
     }
+    mEra = aResult.mStoreEra.value_or(mEra);
+    if (const auto page = DecodeList(aResult.mBody)) {
+      mState = MakeStoreVersion(mEra, page->mAsOf);
+    }
+    OnAnswer(std::chrono::steady_clock::now());
   });
 }
 
--- a/modules/skylarkchute_relay/store/StoreProbe.h
+++ b/modules/skylarkchute_relay/store/StoreProbe.h
@@ -6,16 +6,13 @@
 
 namespace skylarkchute {
 
-/** Finds out whether the store still answers this instance, by cheap reads. A watch that waits for
-   a change looks the same whether nothing has changed or the store has gone silent for this
-    instance alone. */
+/** Finds out whether the store still answers this instance and which state it has reached, by cheap
+    reads. A watch that waits for a change looks the same whether nothing has changed, the answer
+   was lost or the store has gone silent for this instance alone. */
 class StoreProbe
 {
 public:
-  /** @param aName  of this instance, whose store entry is read */
-  StoreProbe(boost::asio::io_context& aContext,
-             const std::string& aAddress,
-             const std::string& aName);
+  StoreProbe(boost::asio::io_context& aContext, const std::string& aAddress);
 
   /** Reads unless a read is in progress. To be called every kInterval. */
   void Tick();
@@ -29,6 +26,9 @@
   /** Returns the era that the store named last; zero if none. */
   std::uint64_t Era() const { return mEra; }
 
+  /** Returns the state that the store named last; zero if none. It may be seconds old. */
+  StoreVersion State() const { return mState; }
+
   /** Returns when the store answered last. */
   TimePoint AnsweredAt() const { return mAnsweredAt; }
 
@@ -41,10 +41,10 @@
   static constexpr std::chrono::milliseconds kSilenceTimeout{ 1000 };
 
 private:
-  std::string mTarget;
   std::shared_ptr<HttpCall> mCall;
   TimePoint mAnsweredAt{};
   std::uint64_t mEra = 0;
+  StoreVersion mState = 0;
 };
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/store/StoreWatcher.cpp
+++ b/modules/skylarkchute_relay/store/StoreWatcher.cpp
@@ -92,6 +92,15 @@
   Retry();
 }
 
+void StoreWatcher::CatchUp()
+{
+  if (mIsStopped || mIsListing || mFailures > 0) {
+    return;
+  }
+  mPauseTimer.cancel();
+  Watch(kCatchUpWait, kListTimeout);
+}
+
 void StoreWatcher::Stop()
 {
   mIsStopped = true;
@@ -101,6 +110,7 @@
 
 void StoreWatcher::List(const std::string& aAfter)
 {
+  mIsListing = true;
   if (aAfter.empty()) {
     mListing = KindSnapshot{};
     mListedAfter.clear();
@@ -159,6 +169,7 @@
     ListNextPage(*page);
     return;
   }
+  mIsListing = false;
   const auto origin = mFailures > 0 ? ListOrigin::AfterOutage : mListener.OriginOfList();
   mFailures = 0;
   mWatchRevision = mListing.mAsOf;
@@ -191,6 +202,7 @@
   if (mIsStopped) {
     return;
   }
+  mIsListing = false;
   mCall->Start("GET",
                WatchTarget(mKind, mWatchRevision, aWait),
                {},
@@ -217,6 +229,9 @@
   SetEra(*page, era);
   mFailures = 0;
   mWatchRevision = std::max(mWatchRevision, page->mAsOf);
+  for (const auto& it : page->mObjects) {
+    mListener.OnStoreChange(it.mRevision);
+  }
   mMirror.Apply(mKind, *page, std::chrono::steady_clock::now());
   mListener.OnStoreSuccess(mKind);
   if (page->mObjects.empty()) {
--- a/modules/skylarkchute_relay/store/StoreWatcher.h
+++ b/modules/skylarkchute_relay/store/StoreWatcher.h
@@ -16,6 +16,9 @@
   virtual void OnStoreSuccess(ObjectKind aKind) = 0;
   virtual void OnStoreFailure(ObjectKind aKind, const std::string& aReason) = 0;
 
+  /** A watch has reported a change of an object, or its removal. */
+  virtual void OnStoreChange(StoreVersion /*aRevision*/) {}
+
   /** Returns whether a watcher whose call failed is to try again now. While the store is away, one
       kind tries for all. */
   virtual bool MayRetry(ObjectKind aKind) const = 0;
@@ -48,6 +51,10 @@
   /** Cancels the call in progress, whose answer may be lost, and catches up with the store. */
   void Refresh();
 
+  /** Makes the watch in progress again, whose answer may be lost, and returns at once with what has
+      changed. Does nothing while the kind is listed or its last call has failed. */
+  void CatchUp();
+
   /** Returns the kind that it watches. */
   ObjectKind Kind() const { return mKind; }
 
@@ -78,6 +85,7 @@
   StoreVersion mWatchRevision = 0;    /**< Last state received from the store itself. */
   std::uint32_t mFailures = 0;        /**< Consecutive failed calls. */
   bool mIsStopped = true;
+  bool mIsListing = false;
 };
 
 } // namespace skylarkchute
--- a/standins/users_platform/UsersStore.cpp
+++ b/standins/users_platform/UsersStore.cpp
@@ -37,17 +37,19 @@
 
 } // namespace
 
-UsersStore::Outcome UsersStore::List(const std::string& aKind) const
+UsersStore::Outcome UsersStore::List(const std::string& aKind,
+                                     const std::string& aAfter,
+                                     std::size_t aMost) const
 {
   const std::lock_guard lock(mMutex);
   Json::Value page(Json::objectValue);
   page["Items"] = Json::Value(Json::arrayValue);
-  for (const auto& [key, object] : mObjects) {
-    if (key.first == aKind) {
-      page["Items"].append(object);
-    }
+  auto it =
+    aAfter.empty() ? mObjects.lower_bound({ aKind, "" }) : mObjects.upper_bound({ aKind, aAfter });
+  for (; it != mObjects.end() && it->first.first == aKind && page["Items"].size() < aMost; ++it) {
+    page["Items"].append(it->second);
   }
-  page["HasMore"] = false;
+  page["HasMore"] = it != mObjects.end() && it->first.first == aKind;
   page["AsOf"] = Json::UInt64(mRevision);
   return { kOk, page };
 }
--- a/standins/users_platform/UsersStore.h
+++ b/standins/users_platform/UsersStore.h
@@ -25,10 +25,18 @@
     Json::Value mBody;
   };
 
+  /** Objects in a page of a list. */
+  static constexpr std::size_t kMaxPageItems = 500;
+
   using Key = std::pair<std::string, std::string>; /**< Kind and name. */
 
-  /** Returns all objects of a kind, with the current revision as `AsOf`. */
-  Outcome List(const std::string& aKind) const;
+  /** Returns a page of the objects of a kind, in the order of their names, with the current
+      revision as `AsOf`.
+      @param aAfter  name after which the page begins; empty for the first page
+      @param aMost   number of objects in a page */
+  Outcome List(const std::string& aKind,
+               const std::string& aAfter = {},
+               std::size_t aMost = kMaxPageItems) const;
 
   /** Returns an object, or 404 if it is absent. */
   Outcome Get(const Key& aKey) const;
--- a/standins/users_platform/UsersStoreStandIn.cpp
+++ b/standins/users_platform/UsersStoreStandIn.cpp
@@ -29,15 +29,21 @@
 /** Longest wait of a watch. */
 constexpr std::uint64_t kMaxWatchWaitMs = 30000;
 
-/** Returns the number in a query parameter, zero if the parameter is absent. */
-std::uint64_t QueryNumber(const std::string& aTarget, const std::string& aName)
+/** Returns a query parameter, empty if it is absent. */
+std::string QueryText(const std::string& aTarget, const std::string& aName)
 {
   for (const auto& [name, value] : Poco::URI(aTarget).getQueryParameters()) {
     if (name == aName) {
-      return std::strtoull(value.c_str(), nullptr, 10);
+      return value;
     }
   }
-  return 0;
+  return {};
+}
+
+/** Returns the number in a query parameter, zero if the parameter is absent. */
+std::uint64_t QueryNumber(const std::string& aTarget, const std::string& aName)
+{
+  return std::strtoull(QueryText(aTarget, aName).c_str(), nullptr, 10);
 }
 
 } // namespace
@@ -48,6 +54,8 @@
 {
   mSwitches["busy"] = false;
   mSwitches["silent"] = false;
+  mSwitches["lose_watches"] = false;
+  mSwitches["page_items"] = 0;
   mSwitches["slow_ms"] = 0;
 }
 
@@ -82,7 +90,7 @@
   std::this_thread::sleep_for(milliseconds(slowMs));
   RemoveExpiredEndpoints();
   const auto outcome = DispatchRequest(aRequest);
-  if (WithholdIfSilent(silences)) {
+  if (WithholdIfLost(aRequest, outcome) || WithholdIfSilent(silences)) {
     return;
   }
   aResponse.set(kEraHeader, std::to_string(mStore.Era()));
@@ -101,6 +109,19 @@
   return true;
 }
 
+/** Holds the answer to a watch that reports a change while such answers are lost.
+    @returns whether the call must not be answered */
+bool UsersStoreStandIn::WithholdIfLost(const Request& aRequest, const UsersStore::Outcome& aOutcome)
+{
+  std::unique_lock lock(mMutex);
+  if (!mSwitches["lose_watches"].asBool() || QueryText(aRequest.getURI(), "Watch").empty() ||
+      aOutcome.mStatus != kOk || aOutcome.mBody["events"].empty()) {
+    return false;
+  }
+  mStopped.wait_for(lock, kSilentHold, [this] { return mIsStopping; });
+  return true;
+}
+
 void UsersStoreStandIn::HandleControl(Request& aRequest, Response& aResponse)
 {
   const auto& path = aRequest.getURI();
@@ -173,7 +194,17 @@
   const auto& target = aRequest.getURI();
   const auto wait = std::min(QueryNumber(target, "WaitMs"), kMaxWatchWaitMs);
   const auto from = QueryNumber(target, "Watch");
-  return from > 0 ? mStore.Watch(aKind, from, milliseconds(wait)) : mStore.List(aKind);
+  if (from > 0) {
+    return mStore.Watch(aKind, from, milliseconds(wait));
+  }
+  return mStore.List(aKind, QueryText(target, "AfterRevision"), PageItems());
+}
+
+std::size_t UsersStoreStandIn::PageItems()
+{
+  const std::lock_guard lock(mMutex);
+  const auto items = mSwitches["page_items"].asUInt();
+  return items > 0 ? items : UsersStore::kMaxPageItems;
 }
 
 void UsersStoreStandIn::RecordRenewal(const std::string& aKind, const std::string& aName)
--- a/standins/users_platform/UsersStoreStandIn.h
+++ b/standins/users_platform/UsersStoreStandIn.h
@@ -33,11 +33,13 @@
 
   void Handle(Request& aRequest, Response& aResponse);
   void HandleControl(Request& aRequest, Response& aResponse);
+  bool WithholdIfLost(const Request& aRequest, const UsersStore::Outcome& aOutcome);
   bool WithholdIfSilent(std::uint64_t aSilencesAtArrival);
   UsersStore::Outcome DispatchRequest(Request& aRequest);
   UsersStore::Outcome Read(const std::string& aKind,
                            const std::string& aName,
                            const Request& aRequest);
+  std::size_t PageItems();
   void RecordRenewal(const std::string& aKind, const std::string& aName);
   void RemoveExpiredEndpoints();
 
--- a/tests/skylarkchute_relay/StoreProbeTests.cpp
+++ b/tests/skylarkchute_relay/StoreProbeTests.cpp
@@ -16,7 +16,7 @@
                          WriteAll(aSocket, "HTTP/1.1 404 -\r\nContent-Length: 0\r\n\r\n");
                        }
                      });
-  StoreProbe probe(fixture.mLoop, store.Address(), "i1");
+  StoreProbe probe(fixture.mLoop, store.Address());
   probe.Tick();
   REQUIRE(fixture.RunUntil([&] { return !probe.IsSilent(std::chrono::steady_clock::now()); }));
   isSilent = true;
