Move the percent-encoding of names to the core module

Both use PercentEncoded() now; the targets are the same, OddNameTests.cpp and the platform tests cover them.

--- a/modules/skylarkchute_core/skylarkchute_core.h
+++ b/modules/skylarkchute_core/skylarkchute_core.h
@@ -21,6 +21,7 @@
 #include "settings/ValueText.h"
 #include "store/ObjectCall.h"
 #include "store/ObjectReply.h"
+#include "text/PercentEncoding.h"
 #include "time/Clock.h"
 #include "time/ManualClock.h"
 #include "time/SystemClock.h"
--- a/modules/skylarkchute_platform/objects/ObjectHttp.cpp
+++ b/modules/skylarkchute_platform/objects/ObjectHttp.cpp
@@ -20,13 +20,6 @@
   return "/v1/objects/" + encoded;
 }
 
-std::string QueryValue(const std::string& aText)
-{
-  std::string encoded;
-  Poco::URI::encode(aText, "?#&+=", encoded);
-  return encoded;
-}
-
 /** Builds the HTTP request of each kind of operation. */
 class RequestBuilder
 {
@@ -51,13 +44,13 @@
 
   void operator()(const ListObjects& aList)
   {
-    Set(HTTPRequest::HTTP_GET, "/v1/objects?prefix=" + QueryValue(aList.mPrefix));
+    Set(HTTPRequest::HTTP_GET, "/v1/objects?prefix=" + PercentEncoded(aList.mPrefix));
   }
 
   void operator()(const WatchObjects& aWatch)
   {
     Set(HTTPRequest::HTTP_GET,
-        "/v1/watch?prefix=" + QueryValue(aWatch.mPrefix) + "&after=" +
+        "/v1/watch?prefix=" + PercentEncoded(aWatch.mPrefix) + "&after=" +
           std::to_string(aWatch.mAfter) + "&wait=" + std::to_string(aWatch.mWait.count()));
     mHttp.mWait = aWatch.mWait;
   }
