Fail answers without a length that are reset while the upload is sent

Callers got a part of a body as a complete 200 (MIXED): a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the write that the reset fails takes the socket's pending error, so the next read reports the end of the stream, as after a proper close, and that ends a body without a length.

Change: a failed write is remembered; an end of stream after it does not end a body that has neither a length nor chunks. While a write is in progress the end is handled after the handlers that are queued, the write's among them.

Answers with a length or chunks, and a proper close during an upload, stay whole.

--- a/modules/skylarkchute_relay/net/ClientConnection.cpp
+++ b/modules/skylarkchute_relay/net/ClientConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "SocketOptions.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/field.hpp>
 #include <skylarkchute_core/skylarkchute_core.h>
@@ -82,6 +83,7 @@
   mOnIdleClosed = nullptr;
   mIsHeadHandled = false;
   mIsSkipped = false;
+  mHasWriteFailed = false;
   mSkippedResponses = 0;
   mSkippedBytes = 0;
   mIsBusy = true;
@@ -154,11 +156,13 @@
   mIsWriting = true;
   std::array<asio::const_buffer, 2> buffers{ asio::buffer(mHead),
                                              mBody ? asio::buffer(*mBody) : asio::const_buffer() };
-  asio::async_write(mSocket, buffers, [self = shared_from_this()](const ErrorCode&, std::size_t) {
-    // A write error is not handled here: the read side sees the closed connection, possibly after
-    // a response that the server sent first.
-    self->mIsWriting = false;
-  });
+  asio::async_write(
+    mSocket, buffers, [self = shared_from_this()](const ErrorCode& aError, std::size_t) {
+      // A write error does not end the request: the read side sees the closed connection, possibly
+      // after a response that the server sent first.
+      self->mIsWriting = false;
+      self->mHasWriteFailed = aError.failed();
+    });
   WaitForBytes();
 }
 
@@ -338,15 +342,34 @@
     }
     return;
   }
-  if (aIsEof && mReader->HasHead() && !mIsSkipped) {
-    mReader->FeedEof();
-    if (!mReader->IsMalformed() && mReader->IsDone()) {
-      mIsOpen = false;
-      FinishResponse();
-      return;
-    }
+  if (!aIsEof || !mReader->HasHead() || mIsSkipped) {
+    Fail(ConnectionFailure::Closed);
+    return;
   }
-  Fail(ConnectionFailure::Closed);
+  if (mIsWriting) {
+    // If a reset failed the write, its handler is queued already.
+    asio::post(mSocket.get_executor(), [self] { self->FinishAtEof(); });
+    return;
+  }
+  FinishAtEof();
+}
+
+/** Ends a response whose connection the server closed. A failed write has taken the socket's error,
+    so that a reset looks like a proper close to the reads after it; a body that ends with its
+    connection may be cut short then. */
+void ClientConnection::FinishAtEof()
+{
+  if (!mIsBusy) {
+    return;
+  }
+  const bool mayBeReset = mHasWriteFailed && mReader->EndsWithConnection();
+  mReader->FeedEof();
+  if (mayBeReset || mReader->IsMalformed() || !mReader->IsDone()) {
+    Fail(ConnectionFailure::Closed);
+    return;
+  }
+  mIsOpen = false;
+  FinishResponse();
 }
 
 void ClientConnection::Fail(ConnectionFailure aFailure)
--- a/modules/skylarkchute_relay/net/ClientConnection.h
+++ b/modules/skylarkchute_relay/net/ClientConnection.h
@@ -106,6 +106,7 @@
   bool FailIfSkippedTooMuch();
   bool FinishResponse();
   void OnConnectionEnded(bool aIsEof);
+  void FinishAtEof();
   void Fail(ConnectionFailure aFailure);
 
   boost::asio::ip::tcp::socket mSocket;
@@ -127,6 +128,7 @@
   bool mIsWaitingForReset = false;
   bool mIsReading = false;
   bool mIsWriting = false;
+  bool mHasWriteFailed = false;
   bool mIsHeadHandled = false;
   bool mIsSkipped = false;
 };
--- /dev/null
+++ b/tests/skylarkchute_relay/ClientConnectionTests.cpp
@@ -0,0 +1,133 @@
+#include "RelayFixture.h"
+
+#include <catch2/catch.hpp>
+#include <skylarkchute_relay/net/ClientConnection.h>
+
+using namespace skylarkchute;
+namespace asio = boost::asio;
+
+namespace {
+
+/** Records what comes of one request. */
+struct RecordingListener : ResponseListener
+{
+  HeadChoice OnHead(const ResponseReader& aReader) override
+  {
+    mStatus = aReader.Status();
+    return HeadChoice::Accept;
+  }
+  void OnBody(std::string aBytes) override { mBody += aBytes; }
+  void OnDone(bool) override { mIsDone = true; }
+  void OnConnectionFailed(ConnectionFailure aFailure) override { mFailure = aFailure; }
+
+  bool HasEnded() const { return mIsDone || mFailure; }
+
+  unsigned mStatus = 0;
+  std::string mBody;
+  bool mIsDone = false;
+  std::optional<ConnectionFailure> mFailure;
+};
+
+/** How a server ends the connection of an answer. */
+enum class End
+{
+  Reset,
+  HalfClose, /**< Sends no more, and leaves the rest of the request unread. */
+  None,
+};
+
+/** Answers each connection at once, before the request is read, and ends it a little later. */
+class EarlyServer
+{
+public:
+  EarlyServer(asio::io_context& aLoop, std::string aAnswer, End aEnd)
+    : mAnswer(std::move(aAnswer))
+    , mEnd(aEnd)
+    , mAcceptor(aLoop, { asio::ip::make_address("127.0.0.1"), 0 })
+    , mSocket(aLoop)
+    , mDelay(aLoop)
+  {
+    mAcceptor.async_accept(mSocket, [this](const boost::system::error_code& aError) {
+      if (aError) {
+        return;
+      }
+      asio::write(mSocket, asio::buffer(mAnswer));
+      mDelay.expires_after(std::chrono::milliseconds(30));
+      mDelay.async_wait([this](const boost::system::error_code&) { EndConnection(); });
+    });
+  }
+
+  asio::ip::tcp::endpoint Address() const { return mAcceptor.local_endpoint(); }
+
+private:
+  void EndConnection()
+  {
+    if (mEnd == End::Reset) {
+      mSocket.set_option(asio::socket_base::linger(true, 0));
+      mSocket.close();
+    } else if (mEnd == End::HalfClose) {
+      mSocket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    }
+  }
+
+  std::string mAnswer;
+  End mEnd;
+  asio::ip::tcp::acceptor mAcceptor;
+  asio::ip::tcp::socket mSocket;
+  asio::steady_timer mDelay;
+};
+
+/** Sends a request and waits for what comes of it. */
+std::shared_ptr<RecordingListener> Exchange(const std::string& aAnswer,
+                                            End aEnd,
+                                            std::size_t aBytes)
+{
+  RelayFixture fixture;
+  EarlyServer server(fixture.mLoop, aAnswer, aEnd);
+  const auto listener = std::make_shared<RecordingListener>();
+  const auto connection =
+    std::make_shared<ClientConnection>(fixture.mLoop, std::chrono::milliseconds(500));
+  connection->Send(server.Address(),
+                   "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(aBytes) + "\r\n\r\n",
+                   std::make_shared<const std::string>(aBytes, 'x'),
+                   listener);
+  fixture.RunUntil([&] { return listener->HasEnded(); });
+  connection->Close();
+  return listener;
+}
+
+constexpr std::size_t kLongUpload = 8 * 1024 * 1024;
+
+} // namespace
+
+TEST_CASE(
+  "MIXED: an answer without a length that is reset while a long upload is sent is not whole")
+{
+  // Guards against a part of a body that counts as complete: the failed write takes the socket's
+  // error, and the next read reports a proper close.
+  const auto bytes =
+    GENERATE(std::size_t{ 0 }, std::size_t{ 200000 }, kLongUpload, 4 * kLongUpload);
+  CAPTURE(bytes);
+  const auto listener = Exchange("HTTP/1.1 200 OK\r\n\r\npart of a body", End::Reset, bytes);
+  CHECK(listener->mStatus == 200);
+  CHECK_FALSE(listener->mIsDone);
+  CHECK(listener->mFailure == ConnectionFailure::Closed);
+}
+
+TEST_CASE("an answer whose framing ends it is whole although the upload cannot be sent")
+{
+  const auto* const answer = GENERATE("HTTP/1.1 413 -\r\nContent-Length: 4\r\n\r\nbody",
+                                      "HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                      "4\r\nbody\r\n0\r\n\r\n");
+  const auto listener = Exchange(answer, End::Reset, kLongUpload);
+  CHECK(listener->mIsDone);
+  CHECK(listener->mBody == "body");
+}
+
+TEST_CASE("an answer without a length that ends by a proper close is whole")
+{
+  const auto bytes = GENERATE(std::size_t{ 0 }, kLongUpload);
+  const auto listener = Exchange("HTTP/1.1 200 OK\r\n\r\nbody", End::HalfClose, bytes);
+  CHECK(listener->mIsDone);
+  CHECK(listener->mBody == "body");
+}
