Fail answers whose status is none

A server in trouble sent an answer with the status 000. The relay skipped it as an interim response, so that what followed on the connection was taken for the answer (502 as a rule, the next answer at worst); statuses from 600 on and 101 were passed on or skipped.

Cause: every status below 200 counted as interim. Change: ResponseReader takes statuses from 100 to 599 without 101, since no request asks to switch protocols; others are malformed.

Evidence: ClientConnectionTests.cpp, "an answer whose status is none" failed with 000, 001, 099, 101, 600 and 999.

--- a/modules/skylarkchute_relay/http/ResponseReader.cpp
+++ b/modules/skylarkchute_relay/http/ResponseReader.cpp
@@ -8,6 +8,16 @@
 
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 
+/** Returns whether a status may be that of an answer, interim ones included (RFC 9110, 15). No
+    request asks to switch protocols. */
+bool IsStatusExpected(unsigned aStatus)
+{
+  constexpr unsigned kFirstStatus = 100;
+  constexpr unsigned kSwitchingProtocols = 101;
+  constexpr unsigned kLastStatus = 599;
+  return aStatus >= kFirstStatus && aStatus <= kLastStatus && aStatus != kSwitchingProtocols;
+}
+
 } // namespace
 
 ResponseReader::ResponseReader(bool aIsHeadRequest) : mParser(std::make_unique<Parser>())
@@ -21,8 +31,12 @@
 std::size_t ResponseReader::Feed(std::string_view aBytes)
 {
   boost::system::error_code ec;
+  const bool hadHead = HasHead();
   const auto taken = FeedParser(*mParser, aBytes, ec);
   mIsMalformed = mIsMalformed || ec;
+  if (!hadHead && HasHead()) {
+    mIsMalformed = mIsMalformed || !IsStatusExpected(Status());
+  }
   return taken;
 }
 
--- a/modules/skylarkchute_relay/http/ResponseReader.h
+++ b/modules/skylarkchute_relay/http/ResponseReader.h
@@ -25,7 +25,8 @@
   /** Signals that the peer closed the connection cleanly, which ends a body without a length. */
   void FeedEof();
 
-  /** Returns whether the bytes are not a valid HTTP response. */
+  /** Returns whether the bytes are not a valid HTTP response, or one with a status outside 100 to
+      599 or with 101. */
   bool IsMalformed() const { return mIsMalformed; }
   bool HasHead() const { return mParser->is_header_done(); }
   bool IsDone() const { return mParser->is_done(); }
--- a/tests/skylarkchute_relay/ClientConnectionTests.cpp
+++ b/tests/skylarkchute_relay/ClientConnectionTests.cpp
@@ -131,3 +131,31 @@
   CHECK(listener->mIsDone);
   CHECK(listener->mBody == "body");
 }
+
+TEST_CASE("MIXED: an answer whose status is none is a failure")
+{
+  // Guards against a status of 000 being passed on, or skipped as an interim response with what
+  // follows taken for the answer.
+  const auto* const status = GENERATE("000", "001", "099", "101", "600", "999");
+  CAPTURE(status);
+  const auto listener = Exchange(std::string("HTTP/1.1 ") + status +
+                                   " -\r\nContent-Length: 0\r\n\r\n"
+                                   "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                                 End::None,
+                                 0);
+  CHECK_FALSE(listener->mIsDone);
+  CHECK(listener->mFailure == ConnectionFailure::Malformed);
+  CHECK(listener->mBody.empty());
+}
+
+TEST_CASE("an interim response is skipped")
+{
+  const auto* const status = GENERATE("100", "102", "103", "199");
+  const auto listener = Exchange(std::string("HTTP/1.1 ") + status +
+                                   " -\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                                 End::None,
+                                 0);
+  CHECK(listener->mIsDone);
+  CHECK(listener->mStatus == 200);
+  CHECK(listener->mBody == "body");
+}
