Fail answers with folded field lines

A server in trouble sent a head in which the name of a field held a blank or a control byte. Most of these were 502 already; a name that begins with a blank was not: the parser takes its line for the continuation of the field before it, so that an answer was passed on with it, or without its length or coding and so with a body that was not the server's.

Change: a head with a folded line is malformed, as RFC 9112, 5.2 lets a proxy do for a response.

A head that stops at any byte was a failure before and has a test now.

--- a/modules/skylarkchute_relay/http/ResponseReader.cpp
+++ b/modules/skylarkchute_relay/http/ResponseReader.cpp
@@ -18,6 +18,15 @@
   return aStatus >= kFirstStatus && aStatus <= kLastStatus && aStatus != kSwitchingProtocols;
 }
 
+/** Returns whether a line of the head that the bytes begin with continues the one before it
+    (obs-fold, RFC 9112, 5.2). Nothing distinguishes it from a field whose name begins with a blank.
+  */
+bool HasFoldedLine(std::string_view aBytes)
+{
+  const auto head = aBytes.substr(0, aBytes.find("\r\n\r\n"));
+  return head.find("\n ") != std::string_view::npos || head.find("\n\t") != std::string_view::npos;
+}
+
 } // namespace
 
 ResponseReader::ResponseReader(bool aIsHeadRequest) : mParser(std::make_unique<Parser>())
@@ -35,7 +44,8 @@
   const auto taken = FeedParser(*mParser, aBytes, ec);
   mIsMalformed = mIsMalformed || ec;
   if (!hadHead && HasHead()) {
-    mIsMalformed = mIsMalformed || !IsStatusExpected(Status());
+    // The parser takes a head only as a whole.
+    mIsMalformed = mIsMalformed || !IsStatusExpected(Status()) || HasFoldedLine(aBytes);
   }
   return taken;
 }
--- a/modules/skylarkchute_relay/http/ResponseReader.h
+++ b/modules/skylarkchute_relay/http/ResponseReader.h
@@ -26,7 +26,7 @@
   void FeedEof();
 
   /** Returns whether the bytes are not a valid HTTP response, or one with a status outside 100 to
-      599 or with 101. */
+      599, with 101 or with folded field lines. */
   bool IsMalformed() const { return mIsMalformed; }
   bool HasHead() const { return mParser->is_header_done(); }
   bool IsDone() const { return mParser->is_done(); }
--- a/tests/skylarkchute_relay/ClientConnectionTests.cpp
+++ b/tests/skylarkchute_relay/ClientConnectionTests.cpp
@@ -159,3 +159,39 @@
   CHECK(listener->mStatus == 200);
   CHECK(listener->mBody == "body");
 }
+
+TEST_CASE("MIXED: an answer with a blank or a control byte in a field's name is a failure")
+{
+  // Guards against an answer that is passed on with such a line, or with a body that is not the
+  // server's: a name that begins with a blank hides its line in the field before it.
+  const auto* const line = GENERATE("Content Length: 4",
+                                    " Content-Length: 4",
+                                    "\tContent-Length: 4",
+                                    "Content-Length : 4",
+                                    "Content-Length\t: 4",
+                                    "X\x01Y: 1\r\nContent-Length: 4",
+                                    "X\x7fY: 1\r\nContent-Length: 4",
+                                    ": 1\r\nContent-Length: 4",
+                                    "X: 1\r\n \r\nContent-Length: 4",
+                                    "X: 1\r\n Transfer-Encoding: chunked\r\nContent-Length: 4");
+  const bool isFirst = GENERATE(false, true);
+  CAPTURE(line, isFirst);
+  const auto listener = Exchange(std::string("HTTP/1.1 200 OK\r\n") + (isFirst ? "" : "A: 1\r\n") +
+                                   line + "\r\n\r\nbody",
+                                 End::HalfClose,
+                                 0);
+  CHECK_FALSE(listener->mIsDone);
+  CHECK(listener->mFailure == ConnectionFailure::Malformed);
+}
+
+TEST_CASE("MIXED: an answer whose head stops at any byte is a failure")
+{
+  // Guards against a 200 with an empty or short body for a server that stopped within the head.
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nX: 1\r\n\r\n";
+  for (std::size_t length = 0; length < head.size(); length += 3) {
+    CAPTURE(length);
+    const auto listener = Exchange(head.substr(0, length), End::HalfClose, 0);
+    CHECK_FALSE(listener->mIsDone);
+    CHECK(listener->mFailure == ConnectionFailure::Closed);
+  }
+}
