Apply the removals of a watch under their own revisions

Cause: a removal was applied under the revision of the whole answer. An answer with the removal and the later creation of an object that is known from another instance already deleted the new object and skipped the creation; the wrong removal went on to the others under its late revision.

Change: a removal keeps its own revision. Where an event names the last change of the object, the removal lies before the next event of the name or the end of the answer.

Evidence: StoreMirrorTests.cpp, STARVED, failed before.

--- a/modules/skylarkchute_relay/store/StoreMirror.cpp
+++ b/modules/skylarkchute_relay/store/StoreMirror.cpp
@@ -103,15 +103,34 @@
   table.mAsOf = aSnapshot.mAsOf;
 }
 
+/** Returns the latest revision at which a removal that a watch reports can have taken place. An
+   event that names the last change of the object and not the removal leaves it open up to the next
+   event of that name, or the end of the page. */
+StoreVersion StoreMirror::RemovalRevision(const KindTable& aTable,
+                                          const StorePage& aEvents,
+                                          std::vector<StoreObject>::const_iterator aEvent)
+{
+  const auto known = aTable.mObjects.find(aEvent->mName);
+  if (known == aTable.mObjects.end() || known->second.mRevision != aEvent->mRevision) {
+    return aEvent->mRevision;
+  }
+  const auto next =
+    std::find_if(aEvent + 1, aEvents.mObjects.end(), [&](const StoreObject& aLater) {
+      return aLater.mName == aEvent->mName;
+    });
+  return next == aEvents.mObjects.end() ? std::max(aEvent->mRevision, aEvents.mAsOf)
+                                        : std::max(aEvent->mRevision, next->mRevision - 1);
+}
+
 void StoreMirror::Apply(ObjectKind aKind, const StorePage& aEvents, TimePoint aNow)
 {
   auto& table = mKinds[aKind];
-  for (const auto& it : aEvents.mObjects) {
-    if (it.mIsDeleted) {
-      Erase(aKind, table, { it.mName, std::max(it.mRevision, aEvents.mAsOf), true, {} }, aNow);
-    } else if (it.mRevision > table.mAsOf) {
+  for (auto it = aEvents.mObjects.begin(); it != aEvents.mObjects.end(); ++it) {
+    if (it->mIsDeleted) {
+      Erase(aKind, table, { it->mName, RemovalRevision(table, aEvents, it), true, {} }, aNow);
+    } else if (it->mRevision > table.mAsOf) {
       // Older events are known from another instance; the object may have been removed since.
-      Set(aKind, table, it, aNow);
+      Set(aKind, table, *it, aNow);
     }
   }
   table.mAsOf = std::max(table.mAsOf, aEvents.mAsOf);
--- a/modules/skylarkchute_relay/store/StoreMirror.h
+++ b/modules/skylarkchute_relay/store/StoreMirror.h
@@ -101,6 +101,9 @@
 
   void Set(ObjectKind aKind, KindTable& aTable, const StoreObject& aObject, TimePoint aNow);
   void Erase(ObjectKind aKind, KindTable& aTable, const StoreObject& aRemoved, TimePoint aNow);
+  static StoreVersion RemovalRevision(const KindTable& aTable,
+                                      const StorePage& aEvents,
+                                      std::vector<StoreObject>::const_iterator aEvent);
   const KindTable& Table(ObjectKind aKind) const;
 
   Listener mListener;
--- a/tests/skylarkchute_relay/StoreMirrorTests.cpp
+++ b/tests/skylarkchute_relay/StoreMirrorTests.cpp
@@ -272,3 +272,17 @@
   CHECK(objects->at(0).mText == text);
   CHECK(objects->at(0).mRevision == 3);
 }
+
+TEST_CASE("STARVED: an endpoint that returns under its id is not removed by its earlier removal")
+{
+  // Guards against endpoints that all instances lack for good: one answer holds the removal and the
+  // creation, which is known from another instance already.
+  StoreMirror mirror([](ObjectKind, const StoreObject&) {});
+  mirror.Replace(kKind, { 10, { MakeObject("e", 5) } }, kNow);
+  REQUIRE(mirror.Apply(kKind, KindChanges{ 10, 13, { MakeObject("e", 12) } }, kNow));
+  StorePage page;
+  page.mAsOf = 14;
+  page.mObjects = { { "e", 11, true, "" }, MakeObject("e", 12) };
+  mirror.Apply(kKind, page, kNow);
+  CHECK(mirror.Find(kKind, "e") != nullptr);
+}
