Pass on removals of objects that an instance never held, and list one state

Causes: the removal of an object that came and went between two states of an instance was not recorded for others that held it; a list in pages mixes states, and a list shows nothing of what came and went since the last state.

--- a/modules/skylarkchute_relay/store/StoreMirror.cpp
+++ b/modules/skylarkchute_relay/store/StoreMirror.cpp
@@ -18,6 +18,22 @@
 
 } // namespace
 
+void ApplyEvents(KindSnapshot& aSnapshot, const StorePage& aEvents)
+{
+  auto& objects = aSnapshot.mObjects;
+  for (const auto& event : aEvents.mObjects) {
+    objects.erase(
+      std::remove_if(objects.begin(),
+                     objects.end(),
+                     [&](const StoreObject& aObject) { return aObject.mName == event.mName; }),
+      objects.end());
+    if (!event.mIsDeleted) {
+      objects.push_back(event);
+    }
+  }
+  aSnapshot.mAsOf = std::max(aSnapshot.mAsOf, aEvents.mAsOf);
+}
+
 StoreMirror::StoreMirror(Listener aListener) : mListener(std::move(aListener))
 {
   for (const auto it : kObjectKinds) {
@@ -57,18 +73,30 @@
                         TimePoint aNow)
 {
   const auto found = aTable.mObjects.find(aRemoved.mName);
-  if (found == aTable.mObjects.end() || found->second.mRevision > aRemoved.mRevision) {
+  if (found == aTable.mObjects.end()) {
+    // Another instance may have seen the object that came and went.
+    if (aRemoved.mRevision > aTable.mAsOf) {
+      RecordRemoval(aTable, aRemoved);
+    }
+    return;
+  }
+  if (found->second.mRevision > aRemoved.mRevision) {
     return;
   }
   aTable.mDigest ^= HashOf(found->second);
   aTable.mObjects.erase(found);
   aTable.mChangedAt = aNow;
+  RecordRemoval(aTable, aRemoved);
+  mListener(aKind, aRemoved);
+}
+
+void StoreMirror::RecordRemoval(KindTable& aTable, const StoreObject& aRemoved)
+{
   aTable.mRemoved.push_back(aRemoved);
   if (aTable.mRemoved.size() > kMaxRemovals) {
-    aTable.mChangesFrom = aTable.mRemoved.front().mRevision;
+    aTable.mChangesFrom = std::max(aTable.mChangesFrom, aTable.mRemoved.front().mRevision);
     aTable.mRemoved.pop_front();
   }
-  mListener(aKind, aRemoved);
 }
 
 void StoreMirror::Replace(ObjectKind aKind,
@@ -98,6 +126,11 @@
   }
   if (!table.mIsKnown || isNewEra) {
     table.mChangesFrom = aSnapshot.mAsOf;
+  } else {
+    // The list does not show objects that came and went since the last state.
+    table.mChangesFrom = std::max(table.mChangesFrom, table.mListedTo);
+    table.mListedFrom = table.mAsOf;
+    table.mListedTo = aSnapshot.mAsOf;
   }
   table.mIsKnown = true;
   table.mAsOf = aSnapshot.mAsOf;
@@ -167,7 +200,8 @@
 std::optional<KindChanges> StoreMirror::ChangesSince(ObjectKind aKind, StoreVersion aRevision) const
 {
   const auto& table = Table(aKind);
-  if (!table.mIsKnown || aRevision < table.mChangesFrom) {
+  const bool isWithinList = aRevision > table.mListedFrom && aRevision < table.mListedTo;
+  if (!table.mIsKnown || aRevision < table.mChangesFrom || isWithinList) {
     return std::nullopt;
   }
   KindChanges changes{ aRevision, table.mAsOf, {} };
--- a/modules/skylarkchute_relay/store/StoreMirror.h
+++ b/modules/skylarkchute_relay/store/StoreMirror.h
@@ -18,6 +18,9 @@
   std::vector<StoreObject> mObjects;
 };
 
+/** Brings a snapshot up to the state of the page with the events that follow it. */
+void ApplyEvents(KindSnapshot& aSnapshot, const StorePage& aEvents);
+
 /** The changes of the objects of one kind between two revisions of the store. */
 struct KindChanges
 {
@@ -92,7 +95,9 @@
   {
     bool mIsKnown = false;
     StoreVersion mAsOf = 0;
-    StoreVersion mChangesFrom = 0;    /**< Removals are recorded after this revision. */
+    StoreVersion mChangesFrom = 0; /**< Removals are recorded after this revision. */
+    StoreVersion mListedFrom = 0;  /**< Between these two, the last list replaced changes. */
+    StoreVersion mListedTo = 0;
     std::deque<StoreObject> mRemoved; /**< The newest removals, oldest first. */
     std::uint64_t mDigest = 0;
     TimePoint mChangedAt{};
@@ -101,6 +106,7 @@
 
   void Set(ObjectKind aKind, KindTable& aTable, const StoreObject& aObject, TimePoint aNow);
   void Erase(ObjectKind aKind, KindTable& aTable, const StoreObject& aRemoved, TimePoint aNow);
+  static void RecordRemoval(KindTable& aTable, const StoreObject& aRemoved);
   static StoreVersion RemovalRevision(const KindTable& aTable,
                                       const StorePage& aEvents,
                                       std::vector<StoreObject>::const_iterator aEvent);
--- a/modules/skylarkchute_relay/store/StoreWatcher.cpp
+++ b/modules/skylarkchute_relay/store/StoreWatcher.cpp
@@ -169,6 +169,46 @@
     ListNextPage(*page);
     return;
   }
+  if (!mListedAfter.empty()) {
+    CatchUpWithList();
+    return;
+  }
+  FinishList();
+}
+
+/** Asks for what has changed between the first page of the list and the last one, so that all its
+    objects are of one state. */
+void StoreWatcher::CatchUpWithList()
+{
+  mCall->Start("GET",
+               WatchTarget(mKind, mListing.mAsOf, kCatchUpWait),
+               {},
+               kListTimeout,
+               [self = shared_from_this()](const CallResult& aResult) {
+                 self->Handle(aResult, &StoreWatcher::OnListCaughtUp);
+               });
+}
+
+void StoreWatcher::OnListCaughtUp(const CallResult& aResult)
+{
+  const auto era = EraOfAnswer(aResult);
+  if ((aResult.mHasResponse && aResult.mStatus == kHistoryGone) || era != EraOf(mListing.mAsOf)) {
+    RetryAfterFailure("the list was out of date when it ended");
+    return;
+  }
+  auto page =
+    aResult.mHasResponse && aResult.mStatus == kOk ? DecodeEvents(aResult.mBody) : std::nullopt;
+  if (!page) {
+    RetryAfterFailure(aResult);
+    return;
+  }
+  SetEra(*page, era);
+  ApplyEvents(mListing, *page);
+  FinishList();
+}
+
+void StoreWatcher::FinishList()
+{
   mIsListing = false;
   const auto origin = mFailures > 0 ? ListOrigin::AfterOutage : mListener.OriginOfList();
   mFailures = 0;
--- a/modules/skylarkchute_relay/store/StoreWatcher.h
+++ b/modules/skylarkchute_relay/store/StoreWatcher.h
@@ -67,6 +67,9 @@
   void Handle(const CallResult& aResult, void (StoreWatcher::*aHandler)(const CallResult&));
   void OnListed(const CallResult& aResult);
   void ListNextPage(const StorePage& aPage);
+  void CatchUpWithList();
+  void OnListCaughtUp(const CallResult& aResult);
+  void FinishList();
   void OnWatched(const CallResult& aResult);
   std::uint64_t EraOfAnswer(const CallResult& aResult) const;
   void RetryAfterFailure(const CallResult& aResult);
--- a/tests/skylarkchute_relay/OddNameTests.cpp
+++ b/tests/skylarkchute_relay/OddNameTests.cpp
@@ -77,10 +77,20 @@
   bool MayRetry(ObjectKind) const override { return true; }
   ListOrigin OriginOfList() const override { return ListOrigin::Normal; }
 
+  static void Respond(const FakeEndpoint::Socket& aSocket, const std::string& aBody)
+  {
+    WriteAll(aSocket,
+             "HTTP/1.1 200 -\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+               aBody);
+  }
+
   void Answer(const std::string& aRequest, const FakeEndpoint::Socket& aSocket)
   {
     const Poco::URI target(TargetOf(aRequest));
     if (!ParameterOf(target, "Watch").empty()) {
+      if (ParameterOf(target, "WaitMs") != "30000") {
+        Respond(aSocket, R"({"events":[],"AsOf":9})");
+      }
       return;
     }
     const auto after = mIgnoresAfter ? std::string() : ParameterOf(target, "AfterRevision");
@@ -91,9 +101,7 @@
     }
     const auto body = R"({"Items":[)" + items + R"(],"HasMore":)" +
                       (it == mNames.end() ? "false" : "true") + R"(,"AsOf":9})";
-    WriteAll(aSocket,
-             "HTTP/1.1 200 -\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-               body);
+    Respond(aSocket, body);
   }
 
   RelayFixture mRelay;
