Apply the limits in force to requests on kept connections

Cause: a request's reader was made with the limits in force when the response before it had been written.

Change: it is made with the first bytes of the request, and an idle connection is closed by the idle timeout in force when it would close.

--- a/modules/skylarkchute_relay/callers/CallerConnection.cpp
+++ b/modules/skylarkchute_relay/callers/CallerConnection.cpp
@@ -113,14 +113,13 @@
 
 void CallerConnection::BeginRequest()
 {
-  const auto limits = Limits();
-  mReader = std::make_unique<RequestReader>(
-    limits.mMaxHeaderBytes, limits.mMaxBodyBytes, mGuard->mLimits.mHeaderLines);
+  mReader.reset();
   mHasRequestBytes = false;
   mSentContinue = false;
   mIsResponseQueued = false;
   mRequestBytes = 0;
-  ArmReadTimer(limits.mIdleTimeout + kIdleMargin);
+  mIdleSince = Now();
+  ArmReadTimer(Limits().mIdleTimeout + kIdleMargin);
 }
 
 void CallerConnection::ArmReadTimer(std::chrono::milliseconds aTime)
@@ -142,16 +141,31 @@
     CheckForClose();
     return;
   }
-  if (!mHasRequestBytes || mIsLingering) {
+  if (mIsLingering) {
     Close();
     return;
   }
+  if (!mHasRequestBytes) {
+    CloseIfIdle();
+    return;
+  }
   if (mIsResponseQueued) {
     return;
   }
   CheckBodyRate();
 }
 
+/** Closes an idle connection, unless a newer configuration lets it stay open for longer. */
+void CallerConnection::CloseIfIdle()
+{
+  const auto left = mIdleSince + Limits().mIdleTimeout + kIdleMargin - Now();
+  if (left.count() <= 0) {
+    Close();
+    return;
+  }
+  ArmReadTimer(std::chrono::ceil<std::chrono::milliseconds>(left));
+}
+
 /** Ends a request whose body arrives below the least rate, or not at all. The rate is measured over
     each idle timeout, so that a caller may pause for as long as between two requests. */
 void CallerConnection::CheckBodyRate()
@@ -329,6 +343,9 @@
   }
   const auto limits = Limits();
   if (!mHasRequestBytes) {
+    // Not before, since the limits may change while the connection is idle.
+    mReader = std::make_unique<RequestReader>(
+      limits.mMaxHeaderBytes, limits.mMaxBodyBytes, mGuard->mLimits.mHeaderLines);
     mHasRequestBytes = true;
     ArmReadTimer(limits.mHeaderTimeout);
   }
--- a/modules/skylarkchute_relay/callers/CallerConnection.h
+++ b/modules/skylarkchute_relay/callers/CallerConnection.h
@@ -69,6 +69,7 @@
   void RefuseHalfRead();
   void ArmReadTimer(std::chrono::milliseconds aTime);
   void OnReadTimeout();
+  void CloseIfIdle();
   void CheckForClose();
   void QueueBytes(std::string aBytes);
   void Write();
@@ -94,6 +95,7 @@
   std::size_t mWindowBytes = 0;  /**< Of the body, when the window of its least rate began. */
   TimePoint mWindowStart{};
   TimePoint mLastRead{};
+  TimePoint mIdleSince{};
   bool mHasRequestBytes = false; /**< Bytes of the current request have arrived. */
   bool mSentContinue = false;
   bool mIsReading = false;
