--- a/modules/skylarkchute_endpoints/connections/EndpointConnection.cpp
+++ b/modules/skylarkchute_endpoints/connections/EndpointConnection.cpp
@@ -39,7 +39,8 @@
 {
   constexpr int kFirstFinalStatus = 200;
   constexpr int kLastStatus = 599;
-  return aResponse.getStatus() >= kFirstFinalStatus && aResponse.getStatus() <= kLastStatus &&
+  const auto status = static_cast<int>(aResponse.getStatus());
+  return status >= kFirstFinalStatus && status <= kLastStatus &&
          std::all_of(aResponse.begin(), aResponse.end(), [](const auto& aField) {
            return IsFieldName(aField.first);
          });
--- a/tests/skylarkchute_relay/OddEntryTests.cpp
+++ b/tests/skylarkchute_relay/OddEntryTests.cpp
@@ -82,6 +82,26 @@
   CHECK_FALSE(DecodeEvents(R"([1])"));
 }
 
+TEST_CASE("an entry whose name cannot be sent in a header names no endpoint")
+{
+  // Guards against requests that a name with a line break in Skylarkchute-Expect-Instance splits.
+  const auto* const name = GENERATE(R"(e\r\nX: 1)",
+                                    R"(e\n)",
+                                    "e 1",
+                                    " e",
+                                    "e ",
+                                    R"(e\t)",
+                                    R"(e\u0001)",
+                                    R"(e\u0000)",
+                                    "\xc3\xa5",
+                                    "");
+  CAPTURE(name);
+  const auto page = DecodeList(R"({"Items":[)" + Entry(name, Spec()) + R"(],"AsOf":9})");
+  REQUIRE(page);
+  REQUIRE(page->mObjects.size() == 1);
+  CHECK_FALSE(DecodeEndpoint(page->mObjects[0]));
+}
+
 TEST_CASE("a time beyond all bounds in an entry is cut")
 {
   auto spec = Spec();
