Review: free ports below those of outgoing connections, and the template in one place

Cause: a relay's port could be taken while it was down, and two cases need the settings of the template. Change: FreePort() draws from 10000 to 29999; TemplateSettings() fills in deploy/relay.ini.template for both.

--- a/review/standins-3/Kit.cpp
+++ b/review/standins-3/Kit.cpp
@@ -10,6 +10,8 @@
 #include <filesystem>
 #include <fstream>
 #include <netinet/tcp.h>
+#include <random>
+#include <set>
 #include <sstream>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -112,11 +114,22 @@
   return value == nullptr || std::string(value) != "0";
 }
 
+/** Below the ports of outgoing connections, so that none of these takes it while a relay is down.
+ */
 int FreePort()
 {
-  int port = 0;
-  ::close(Listen(port));
-  return port;
+  static std::mt19937 random{ std::random_device{}() };
+  static std::set<int> taken;
+  while (true) {
+    const int port = std::uniform_int_distribution<int>(10000, 29999)(random);
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    auto address = Loopback(port);
+    const bool isFree = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    ::close(socket);
+    if (isFree && taken.insert(port).second) {
+      return port;
+    }
+  }
 }
 
 std::string Message::Header(const std::string& aName) const
@@ -700,6 +713,77 @@
   return false;
 }
 
+namespace {
+
+void Replace(std::string& aText, const std::string& aFrom, const std::string& aTo)
+{
+  for (auto at = aText.find(aFrom); at != std::string::npos; at = aText.find(aFrom, at)) {
+    aText.replace(at, aFrom.size(), aTo);
+    at += aTo.size();
+  }
+}
+
+/** Replaces a section of the template with what it gives. */
+void ReplaceSection(std::string& aText, const std::string& aName, const std::string& aTo)
+{
+  const auto end = "{{/" + aName + "}}\n";
+  const auto from = aText.find("{{#" + aName + "}}");
+  const auto to = aText.find(end);
+  if (from != std::string::npos && to != std::string::npos) {
+    aText.replace(from, to + end.size() - from, aTo);
+  }
+}
+
+} // namespace
+
+std::string TemplateSettings(const Relay& aRelay,
+                             const std::string& aSeeds,
+                             const std::map<std::string, std::string>& aFigures)
+{
+  std::ifstream in("deploy/relay.ini.template");
+  std::stringstream text;
+  text << in.rdbuf();
+  auto settings = text.str();
+  const auto address = [&](int aPort) { return aRelay.Ip() + ":" + std::to_string(aPort); };
+  ReplaceSection(settings, "Bounds.EvacMs", "");
+  ReplaceSection(settings, "Bounds.ColdOvershoot", "");
+  ReplaceSection(settings, "Zones", "z1 = r\nz2 = r\nz3 = r\n");
+  std::map<std::string, std::string> values{
+    { "Node", aRelay.Name() },
+    { "Zone", aRelay.Zone() },
+    { "Ip", aRelay.Ip() },
+    { "Listen.Front", address(aRelay.CallerPort()) },
+    { "Listen.Ready", address(aRelay.ReadyPort()) },
+    { "Listen.Control", address(aRelay.PeerPort()) },
+    { "InternalPorts.0", std::to_string(aRelay.ForwardPort()) },
+    { "Platform.Address", "127.0.0.1:" + std::to_string(aRelay.StorePort()) },
+    { "Seeds", aSeeds },
+    { "Bounds.RetryBudgetRatio", "0.9" },
+    { "Bounds.BudgetSlack", "58" },
+    { "Bounds.BudgetWindowS", "10" },
+    { "Bounds.ExposeShare", "0.15" },
+    { "Bounds.ExposeSlack", "30" },
+    { "Bounds.SessionS", "5" },
+    { "Bounds.GraceS", "8" },
+    { "Limits.MemoryMb", "260" },
+    { "Limits.MaxFds", "4100" },
+    { "FaultTolerance.Zones", "0" },
+  };
+  for (const auto& [name, value] : aFigures) {
+    values[name] = value;
+  }
+  for (const auto& [name, value] : values) {
+    Replace(settings, "{{" + name + "}}", value);
+  }
+  return settings;
+}
+
+std::string LoopbackNet()
+{
+  std::mt19937 random{ std::random_device{}() };
+  return "127." + std::to_string(16 + random() % 200) + "." + std::to_string(random() % 250) + ".";
+}
+
 const std::string& Folder()
 {
   static const std::string folder = [] {
--- a/review/standins-3/Kit.h
+++ b/review/standins-3/Kit.h
@@ -192,6 +192,8 @@
   int ReadyPort() const { return mReadyPort; }
   int ForwardPort() const { return mForwardPort; }
   const std::string& Ip() const { return mIp; }
+  const std::string& Zone() const { return mZone; }
+  int StorePort() const { return mStorePort; }
   const std::string& Name() const { return mName; }
   void Start(const std::vector<int>& aSeeds);
 
@@ -215,6 +217,18 @@
   int mPid = 0;
 };
 
+/** Fills in the template of the deploy file as the platform does, with the figures of
+   boxline-fleet. The machine needs an address of its own, since the template sets the port for
+   metrics.
+    @param aSeeds    the addresses of a few relays for their peers, joined by commas
+    @param aFigures  fields that differ from these */
+std::string TemplateSettings(const Relay& aRelay,
+                             const std::string& aSeeds,
+                             const std::map<std::string, std::string>& aFigures = {});
+
+/** Returns the first three parts of loopback addresses for the machines of a run. */
+std::string LoopbackNet();
+
 /** Temporary folder of the run; removed at its end. */
 const std::string& Folder();
 void RemoveFolder();
--- a/review/standins-3/SettingsCase.cpp
+++ b/review/standins-3/SettingsCase.cpp
@@ -2,8 +2,6 @@
 #include "Kit.h"
 
 #include <csignal>
-#include <fstream>
-#include <sstream>
 
 using namespace kit;
 
@@ -22,66 +20,6 @@
   return SendAll(aSocket, aSelf.Head(200, aRequest) + "Content-Length: 2\r\n\r\nok");
 }
 
-void Replace(std::string& aText, const std::string& aFrom, const std::string& aTo)
-{
-  for (auto at = aText.find(aFrom); at != std::string::npos; at = aText.find(aFrom, at)) {
-    aText.replace(at, aFrom.size(), aTo);
-    at += aTo.size();
-  }
-}
-
-/** Replaces a section of the template with what it gives. */
-void ReplaceSection(std::string& aText, const std::string& aName, const std::string& aTo)
-{
-  const auto end = "{{/" + aName + "}}\n";
-  const auto from = aText.find("{{#" + aName + "}}");
-  const auto to = aText.find(end);
-  if (from != std::string::npos && to != std::string::npos) {
-    aText.replace(from, to + end.size() - from, aTo);
-  }
-}
-
-/** Fills in the template of the deploy file as the platform does. */
-std::string Settings(const Relay& aRelay,
-                     const std::string& aZone,
-                     const std::string& aSeeds,
-                     int aStorePort,
-                     const std::string& aGrace)
-{
-  std::ifstream in("deploy/relay.ini.template");
-  std::stringstream text;
-  text << in.rdbuf();
-  auto settings = text.str();
-  const auto address = [&](int aPort) { return aRelay.Ip() + ":" + std::to_string(aPort); };
-  ReplaceSection(settings, "Bounds.EvacMs", "");
-  ReplaceSection(settings, "Bounds.ColdOvershoot", "");
-  ReplaceSection(settings, "Zones", "z1 = r\nz2 = r\nz3 = r\n");
-  const std::pair<std::string, std::string> values[] = {
-    { "Node", aRelay.Name() },
-    { "Zone", aZone },
-    { "Ip", aRelay.Ip() },
-    { "Listen.Front", address(aRelay.CallerPort()) },
-    { "Listen.Ready", address(aRelay.ReadyPort()) },
-    { "Listen.Control", address(aRelay.PeerPort()) },
-    { "InternalPorts.0", std::to_string(aRelay.ForwardPort()) },
-    { "Platform.Address", "127.0.0.1:" + std::to_string(aStorePort) },
-    { "Seeds", aSeeds },
-    { "Bounds.RetryBudgetRatio", "0.9" },
-    { "Bounds.BudgetSlack", "58" },
-    { "Bounds.BudgetWindowS", "10" },
-    { "Bounds.ExposeShare", "0.15" },
-    { "Bounds.ExposeSlack", "30" },
-    { "Bounds.GraceS", aGrace },
-    { "Limits.MemoryMb", "260" },
-    { "Limits.MaxFds", "4100" },
-    { "FaultTolerance.Zones", "0" },
-  };
-  for (const auto& [name, value] : values) {
-    Replace(settings, "{{" + name + "}}", value);
-  }
-  return settings;
-}
-
 void RunClient(const std::vector<std::unique_ptr<Relay>>& aRelays, int aNumber)
 {
   for (int n = aNumber; !gIsEnding; ++n) {
@@ -144,18 +82,18 @@
   // Each machine has an address of its own, since the template sets the port for metrics.
   std::vector<std::unique_ptr<Relay>> relays;
   std::string seeds;
-  const auto net = std::to_string(16 + FreePort() % 200) + "." + std::to_string(FreePort() % 250);
+  const auto net = LoopbackNet();
   for (int n = 1; n <= 3; ++n) {
     const auto number = std::to_string(n);
-    relays.push_back(std::make_unique<Relay>(
-      "relay-" + number, "z" + number, store.Port(), "127." + net + "." + number));
+    relays.push_back(
+      std::make_unique<Relay>("relay-" + number, "z" + number, store.Port(), net + number));
     seeds +=
       (n > 1 ? "," : "") + relays.back()->Ip() + ":" + std::to_string(relays.back()->PeerPort());
   }
   const auto write = [&](const std::string& aGrace) {
     for (std::size_t n = 0; n < relays.size(); ++n) {
       relays[n]->WriteSettings(
-        Settings(*relays[n], "z" + std::to_string(n + 1), seeds, store.Port(), aGrace));
+        TemplateSettings(*relays[n], seeds, { { "Bounds.GraceS", aGrace } }));
     }
   };
   write("8");
