End a rollout whose order is removed

What callers saw: nothing reported. The removal of an order was ignored, so its version went on getting requests, up to all of them.

Cause: FleetSync::OnRollout returned for a removed object.

Change: the version on trial gets nothing from then on, and an order for it that is given again begins anew. An entry that may be missing only since the store was away, or restored from a copy, stays in force. An order that cannot be read is logged (1111).

Evidence: FleetSyncTests.cpp, "EXPOSURE: a version gets nothing once the order that tries it is removed", failed on the code before.

--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -63,7 +63,7 @@
   1113,
   EventLevel::Info,
   "rollout-changed",
-  "A rollout was ordered, or its recorded state changed."
+  "A rollout was ordered, or its recorded state changed, or its order was removed."
 };
 inline constexpr EventDescription kRolloutStopped{
   1114,
--- a/modules/skylarkchute_relay/runtime/FleetSync.cpp
+++ b/modules/skylarkchute_relay/runtime/FleetSync.cpp
@@ -126,8 +126,13 @@
 
 void FleetSync::OnRollout(const StoreObject& aObject)
 {
-  const auto order = aObject.mIsDeleted ? std::nullopt : DecodeRollout(aObject);
+  if (aObject.mIsDeleted) {
+    OnRolloutRemoved(aObject);
+    return;
+  }
+  const auto order = DecodeRollout(aObject);
   if (!order) {
+    LogIgnored(ObjectKind::Rollouts, aObject);
     return;
   }
   mRouter.Rollouts().OnOrder(*order, Now(), std::chrono::milliseconds(0));
@@ -138,6 +143,17 @@
                  { "period_ms", std::to_string(order->mPeriod.count()) } } });
 }
 
+/** An order that may be missing only since the store was away, or restored from a copy, stays in
+    force: the operator writes it again. */
+void FleetSync::OnRolloutRemoved(const StoreObject& aObject)
+{
+  if (aObject.mMayHaveLapsed) {
+    return;
+  }
+  mRouter.Rollouts().OnOrderRemoved(ServiceName(aObject.mName));
+  mLog.Write({ &kRolloutChanged, { { "service", aObject.mName }, { "state", "removed" } } });
+}
+
 /** Requests in progress in the zone go on; idle connections are closed, so that none is used for a
     request that was planned before. */
 void FleetSync::OnEvacuation(const StoreObject& aObject)
--- a/modules/skylarkchute_relay/runtime/FleetSync.h
+++ b/modules/skylarkchute_relay/runtime/FleetSync.h
@@ -32,6 +32,7 @@
   void OnConfig(const StoreObject& aObject);
   void OnEndpoint(const StoreObject& aObject);
   void OnRollout(const StoreObject& aObject);
+  void OnRolloutRemoved(const StoreObject& aObject);
   void OnInstance(const StoreObject& aObject);
   void OnEvacuation(const StoreObject& aObject);
   void LogIgnored(ObjectKind aKind, const StoreObject& aObject);
--- a/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
@@ -140,7 +140,13 @@
   }
 }
 
-
+void RolloutTracker::OnOrderRemoved(const ServiceName& aService)
+{
+  const auto service = mServices.find(aService);
+  if (service != mServices.end()) {
+    service->second.mRollout.reset();
+  }
+}
 
 /** Returns whether an order tries the version that is taken for the one in use: it was inferred
     before the order was known. */
--- a/modules/skylarkchute_routing/fleet/RolloutTracker.h
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.h
@@ -81,6 +81,10 @@
       @param aAge  time since the order if known, else zero */
   void OnOrder(const RolloutOrder& aOrder, TimePoint aNow, std::chrono::milliseconds aAge);
 
+  /** Ends the rollout of a service whose order was removed. A version that was on trial gets no
+      requests any more; one that was completed or rolled back stays so. */
+  void OnOrderRemoved(const ServiceName& aService);
+
   /** Selects the version for a request and keeps only the endpoints that may serve it.
       @param aKey   subject of the request; may be empty
       @param aOpen  open endpoints of the service; reduced to those of the selected version */
--- a/tests/skylarkchute_relay/FleetSyncTests.cpp
+++ b/tests/skylarkchute_relay/FleetSyncTests.cpp
@@ -137,3 +137,34 @@
     CHECK(IsOpen(fixture));
   }
 }
+
+TEST_CASE("EXPOSURE: a version gets nothing once the order that tries it is removed")
+{
+  // Guards against a rollout that goes on after the operator has taken its order back.
+  SyncFixture fixture;
+  auto& rollouts = fixture.mRelay.mRouter.Rollouts();
+  const ServiceName service("svc");
+  const StoreObject order{
+    "svc",
+    5,
+    false,
+    R"({"Metadata":{"Name":"svc"},"Spec":{"Service":"svc","Target":"v2","PeriodS":24}})"
+  };
+  const auto kind = ObjectKind::Rollouts;
+  fixture.mMirror.Replace(kind, { 10, { order } }, fixture.mNow);
+  REQUIRE(rollouts.Order(service) != nullptr);
+  SECTION("by the operator")
+  {
+    StorePage page;
+    page.mAsOf = 13;
+    page.mObjects = { { "svc", 13, true, "" } };
+    fixture.mMirror.Apply(kind, page, fixture.mNow);
+    CHECK(rollouts.Order(service) == nullptr);
+    CHECK_FALSE(rollouts.IsRunning());
+  }
+  SECTION("but not if it is missing since the store was away")
+  {
+    fixture.mMirror.Replace(kind, { 12, {} }, fixture.mNow, ListOrigin::AfterOutage);
+    CHECK(rollouts.Order(service) != nullptr);
+  }
+}
--- a/tests/skylarkchute_routing/RolloutTrackerTests.cpp
+++ b/tests/skylarkchute_routing/RolloutTrackerTests.cpp
@@ -430,3 +430,25 @@
   traffic.Send(fleet, seconds(11), [](int) { return false; });
   CHECK(traffic.mNewer == 12 * traffic.mPerSecond);
 }
+
+TEST_CASE("rollout: a version whose order is removed gets nothing until it is ordered again")
+{
+  FleetFixture fleet;
+  fleet.AddEndpoints("old", 2);
+  fleet.AddEndpoints("new", 3, "v2");
+  fleet.OrderRollout("v2", kPeriod);
+  Traffic onTrial;
+  onTrial.Send(fleet, seconds(10), [](int) { return false; });
+  REQUIRE(onTrial.mNewer > 0);
+  fleet.mRouter.Rollouts().OnOrderRemoved(ServiceName("svc"));
+  Traffic afterRemoval;
+  afterRemoval.Send(fleet, seconds(10), [](int) { return false; });
+  CHECK(afterRemoval.mNewer == 0);
+  fleet.OrderRollout("v2", kPeriod);
+  Traffic again;
+  again.Send(fleet, seconds(19), [](int) { return false; });
+  CHECK(again.mOlder > 0);
+  Traffic lastPart;
+  lastPart.Send(fleet, seconds(2), [](int) { return false; });
+  CHECK(lastPart.mOlder == 0);
+}
