Read the platform's figures as fractions, and default those not stated

What callers saw: GraceS became 7.5. Relays that were stopped after that ended at every start, until none was left to serve.

Cause: durations, memory, descriptors and tolerated zones were read as integers without a fraction part; a figure that the platform does not state was refused as well. SIGHUP kept the former settings, so the fault showed at the next start only.

Change: a duration is a number with a unit; memory, descriptors and zones count by their integral part. A figure without a value has its default, and 1107 names it. What is out of range or no number is refused as before.

--- a/modules/skylarkchute_core/settings/SectionReader.cpp
+++ b/modules/skylarkchute_core/settings/SectionReader.cpp
@@ -85,6 +85,12 @@
   return static_cast<std::uint32_t>(*count);
 }
 
+bool SectionReader::IsBlank(const std::string& aKey)
+{
+  const auto* text = Find(aKey, false);
+  return text != nullptr && IsWithoutValue(*text);
+}
+
 bool SectionReader::ReadFlagOr(const std::string& aKey, std::optional<bool> aFallback)
 {
   const auto* text = Find(aKey, !aFallback);
@@ -111,7 +117,7 @@
   const auto duration = ReadDuration(*text);
   if (!duration || *duration < kMin || *duration > aMax) {
     AddFault(aKey,
-             "must be a duration such as 250ms, 5s or 2h, at most " + WriteDuration(aMax) +
+             "must be a duration such as 250ms, 7.5s or 2h, at most " + WriteDuration(aMax) +
                ", not '" + *text + "'");
     return kMin;
   }
--- a/modules/skylarkchute_core/settings/SectionReader.h
+++ b/modules/skylarkchute_core/settings/SectionReader.h
@@ -41,6 +41,9 @@
                             std::uint32_t aMax,
                             std::optional<std::uint32_t> aFallback = std::nullopt);
 
+  /** Returns whether a key is present with a text that has no value. @see IsWithoutValue */
+  bool IsBlank(const std::string& aKey);
+
   /** Returns a Boolean, written as `true` or `false`. */
   bool ReadFlagOr(const std::string& aKey, std::optional<bool> aFallback);
 
--- a/modules/skylarkchute_core/settings/ValueText.cpp
+++ b/modules/skylarkchute_core/settings/ValueText.cpp
@@ -37,6 +37,15 @@
   return aText.substr(first, aText.find_last_not_of(kBlanks) - first + 1);
 }
 
+/** Returns the unit with a suffix, or null if there is none. */
+const DurationUnit* FindUnit(std::string_view aSuffix)
+{
+  const auto* const end = std::end(kUnits);
+  const auto* const found = std::find_if(
+    std::begin(kUnits), end, [&](const DurationUnit& aUnit) { return aUnit.mSuffix == aSuffix; });
+  return found == end ? nullptr : found;
+}
+
 bool IsLetterOrDigit(char aCharacter)
 {
   return (aCharacter >= 'a' && aCharacter <= 'z') || (aCharacter >= 'A' && aCharacter <= 'Z') ||
@@ -80,22 +89,27 @@
 
 std::optional<milliseconds> ReadDuration(std::string_view aText)
 {
-  const auto split = aText.find_first_not_of("0123456789");
-  if (split == std::string_view::npos) {
+  double count = 0;
+  const auto* end = aText.data() + aText.size();
+  const auto [ptr, ec] = std::from_chars(aText.data(), end, count);
+  if (ec != std::errc{} || !std::isfinite(count) || count < 0) {
     return std::nullopt;
   }
-  const auto count = ReadCount(aText.substr(0, split));
-  const auto suffix = Trim(aText.substr(split));
-  for (const auto& it : kUnits) {
-    if (it.mSuffix != suffix) {
-      continue;
-    }
-    if (!count || *count > static_cast<std::uint64_t>(kMaxDuration / it.mLength)) {
-      return std::nullopt;
-    }
-    return it.mLength * static_cast<std::int64_t>(*count);
+  const auto* unit = FindUnit(Trim({ ptr, static_cast<std::size_t>(end - ptr) }));
+  if (unit == nullptr) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  const auto length = count * static_cast<double>(unit->mLength.count());
+  if (length > static_cast<double>(kMaxDuration.count())) {
+    return std::nullopt;
+  }
+  return milliseconds(std::llround(length));
+}
+
+bool IsWithoutValue(std::string_view aText)
+{
+  const auto text = Trim(aText);
+  return text.empty() || FindUnit(text) != nullptr;
 }
 
 std::vector<std::string> ReadList(std::string_view aText)
--- a/modules/skylarkchute_core/settings/ValueText.h
+++ b/modules/skylarkchute_core/settings/ValueText.h
@@ -19,9 +19,13 @@
 /** Parses `true` or `false`. */
 std::optional<bool> ReadFlag(std::string_view aText);
 
-/** Parses an integer with one of the units `ms`, `s`, `m`, `h`; at most ten years of 365 days. */
+/** Parses a number with one of the units `ms`, `s`, `m`, `h`, such as `250ms` or `7.5s`; at most
+   ten years of 365 days. Rounds to the nearest millisecond. */
 std::optional<std::chrono::milliseconds> ReadDuration(std::string_view aText);
 
+/** Returns whether a text has no value: it is empty, blank or one of the units of ReadDuration. */
+bool IsWithoutValue(std::string_view aText);
+
 /** Splits a comma-separated list and trims spaces and tabs; an empty text gives an empty list. */
 std::vector<std::string> ReadList(std::string_view aText);
 
--- a/modules/skylarkchute_relay/events/RelayEvents.h
+++ b/modules/skylarkchute_relay/events/RelayEvents.h
@@ -44,6 +44,12 @@
   "process-paused",
   "The process was paused for a while; all objects are listed from the store again."
 };
+inline constexpr EventDescription kSettingsDefaulted{
+  1107,
+  EventLevel::Warning,
+  "settings-defaulted",
+  "Keys of the settings have no value; the defaults named in `keys` are in force."
+};
 inline constexpr EventDescription kConfigInForce{ 1110,
                                                   EventLevel::Info,
                                                   "config-in-force",
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.cpp
@@ -184,6 +184,7 @@
   mLog.Write(
     { &kRelayStarted,
       { { "incarnation", mSelf.mIncarnation }, { "callers", mSettings.mCallerAddress } } });
+  LogDefaultedSettings(mSettings);
   WaitForSignal();
   UnblockHangup();
   mStartupQueue.StartHolding();
@@ -323,6 +324,14 @@
   mRouter.SetBounds(mSettings.mBounds);
   mMesh.SetSeeds(mSettings.mSeeds);
   mLog.Write({ &kSettingsReloaded, {} });
+  LogDefaultedSettings(*settings);
+}
+
+void RelayRuntime::LogDefaultedSettings(const RelaySettings& aSettings) const
+{
+  if (!aSettings.mDefaulted.empty()) {
+    mLog.Write({ &kSettingsDefaulted, { { "keys", WriteList(aSettings.mDefaulted) } } });
+  }
 }
 
 void RelayRuntime::BeginStop()
--- a/modules/skylarkchute_relay/runtime/RelayRuntime.h
+++ b/modules/skylarkchute_relay/runtime/RelayRuntime.h
@@ -69,6 +69,7 @@
 
   void WaitForSignal();
   void Reload();
+  void LogDefaultedSettings(const RelaySettings& aSettings) const;
   void BeginStop();
   void CheckStopped();
   void EndRequests();
--- a/modules/skylarkchute_relay/runtime/RelaySettings.cpp
+++ b/modules/skylarkchute_relay/runtime/RelaySettings.cpp
@@ -20,6 +20,16 @@
 constexpr std::uint32_t kMaxBodyRate = 1 << 20;
 constexpr std::uint32_t kMaxZones = 1000;
 
+/** Defaults of the figures that the platform may not state. */
+constexpr double kDefaultRetryRatio = 0.1;
+constexpr double kDefaultRetrySlack = 10;
+constexpr milliseconds kDefaultRetryWindow{ 10000 };
+constexpr double kDefaultExposedShare = 0.05;
+constexpr double kDefaultExposedSlack = 10;
+constexpr milliseconds kDefaultSession{ 5000 };
+constexpr milliseconds kDefaultEvacuationTime{ 5000 };
+constexpr milliseconds kDefaultGrace{ 5000 };
+
 /** Reads the sections of a settings document and collects faults. */
 class RelaySections
 {
@@ -107,12 +117,79 @@
   return found->second;
 }
 
-/** The platform leaves the value empty where nothing is said of zones. */
-std::uint32_t ReadToleratedZones(SectionReader& aReader)
+/** Reads the figures of one section that the platform fills in. The platform may leave the value
+    empty, or state any figure as a fraction. */
+class FigureReader
 {
-  const std::string key = "tolerated";
-  return aReader.ReadText(key, "").empty() ? 0 : aReader.ReadCountIn(key, 0, kMaxZones, 0);
-}
+public:
+  /** @param aDefaulted  receives the keys without a value; has to outlive the reader */
+  FigureReader(SectionReader& aReader, std::string aSection, std::vector<std::string>& aDefaulted)
+    : mReader(aReader)
+    , mSection(std::move(aSection))
+    , mDefaulted(aDefaulted)
+  {
+  }
+
+  /** Whether the key itself may be absent; it then has its default as well. */
+  enum class Key
+  {
+    Required,
+    Optional,
+  };
+
+  /** Returns a number from @p aMin to @p aMax; @p aDefault if the key has no value. */
+  double ReadNumber(const std::string& aKey,
+                    double aMin,
+                    double aMax,
+                    double aDefault,
+                    Key aPresence = Key::Required)
+  {
+    if (mReader.IsBlank(aKey)) {
+      RecordDefault(aKey, WriteNumber(aDefault));
+      return aDefault;
+    }
+    return mReader.ReadNumberIn(aKey, aMin, aMax, IfOptional(aPresence, aDefault));
+  }
+
+  /** Returns a duration from 1 ms to kMaxPeriod; @p aDefault if the key has no value. */
+  milliseconds ReadDuration(const std::string& aKey,
+                            milliseconds aDefault,
+                            Key aPresence = Key::Required)
+  {
+    if (mReader.IsBlank(aKey)) {
+      RecordDefault(aKey, WriteDuration(aDefault));
+      return aDefault;
+    }
+    return mReader.ReadDurationUpTo(aKey, kMaxPeriod, IfOptional(aPresence, aDefault));
+  }
+
+  /** Returns the integral part of a number from 0 to @p aMax; 0 if the key has no value or is
+      absent. */
+  std::uint32_t ReadIntegralPart(const std::string& aKey, std::uint32_t aMax)
+  {
+    if (mReader.IsBlank(aKey)) {
+      RecordDefault(aKey, "0");
+      return 0;
+    }
+    return static_cast<std::uint32_t>(mReader.ReadNumberIn(aKey, 0, aMax, 0));
+  }
+
+private:
+  template<typename Value>
+  static std::optional<Value> IfOptional(Key aPresence, Value aDefault)
+  {
+    return aPresence == Key::Optional ? std::optional(aDefault) : std::nullopt;
+  }
+
+  void RecordDefault(const std::string& aKey, const std::string& aDefault)
+  {
+    mDefaulted.push_back(mSection + "." + aKey + " = " + aDefault);
+  }
+
+  SectionReader& mReader;
+  std::string mSection;
+  std::vector<std::string>& mDefaulted;
+};
 
 } // namespace
 
@@ -120,6 +197,9 @@
 {
   RelaySettings settings;
   RelaySections sections(aDocument);
+  const auto figuresOf = [&](SectionReader& aReader, const std::string& aSection) {
+    return FigureReader(aReader, aSection, settings.mDefaulted);
+  };
   sections.ReadSection("instance", [&](SectionReader& aReader) {
     settings.mName = aReader.ReadText("name", "");
     settings.mZone = ZoneName(aReader.ReadText("zone", ""));
@@ -139,25 +219,34 @@
     settings.mSeeds = aReader.ReadItems("seeds", false);
   });
   sections.ReadSection("retries", [&](SectionReader& aReader) {
-    settings.mBounds.mRetry.mRatio = aReader.ReadNumberIn("ratio", 0, 10);
-    settings.mBounds.mRetry.mSlack = aReader.ReadNumberIn("slack", 0, 1e6);
-    settings.mBounds.mRetry.mWindow = aReader.ReadDurationUpTo("window", kMaxPeriod);
+    auto figures = figuresOf(aReader, "retries");
+    auto& bound = settings.mBounds.mRetry;
+    bound.mRatio = figures.ReadNumber("ratio", 0, 10, kDefaultRetryRatio);
+    bound.mSlack = figures.ReadNumber("slack", 0, 1e6, kDefaultRetrySlack);
+    bound.mWindow = figures.ReadDuration("window", kDefaultRetryWindow);
   });
   sections.ReadSection("rollouts", [&](SectionReader& aReader) {
-    settings.mBounds.mExposure.mShare = aReader.ReadNumberIn("exposed_share", 0, 1);
-    settings.mBounds.mExposure.mSlack = aReader.ReadNumberIn("exposed_slack", 0, 1e6);
-    settings.mBounds.mSession = aReader.ReadDurationUpTo("session", kMaxPeriod, milliseconds(5000));
+    auto figures = figuresOf(aReader, "rollouts");
+    auto& bound = settings.mBounds.mExposure;
+    bound.mShare = figures.ReadNumber("exposed_share", 0, 1, kDefaultExposedShare);
+    bound.mSlack = figures.ReadNumber("exposed_slack", 0, 1e6, kDefaultExposedSlack);
+    settings.mBounds.mSession =
+      figures.ReadDuration("session", kDefaultSession, FigureReader::Key::Optional);
   });
   sections.ReadOptionalSection("zones", [&](SectionReader& aReader) {
-    settings.mBounds.mToleratedZones = ReadToleratedZones(aReader);
+    settings.mBounds.mToleratedZones =
+      figuresOf(aReader, "zones").ReadIntegralPart("tolerated", kMaxZones);
   });
   sections.ReadOptionalSection("evacuations", [&](SectionReader& aReader) {
-    settings.mEvacuationTime = aReader.ReadDurationUpTo("apply_within", kMaxPeriod);
+    settings.mEvacuationTime =
+      figuresOf(aReader, "evacuations").ReadDuration("apply_within", kDefaultEvacuationTime);
   });
   sections.ReadOptionalSection("cold_endpoints", [&](SectionReader& aReader) {
     auto& bound = settings.mBounds.mCold.emplace();
-    bound.mOvershoot = aReader.ReadNumberIn("overshoot", 1, 100, bound.mOvershoot);
-    bound.mSlack = aReader.ReadNumberIn("slack", 0, 1e6, bound.mSlack);
+    auto figures = figuresOf(aReader, "cold_endpoints");
+    constexpr auto kOptional = FigureReader::Key::Optional;
+    bound.mOvershoot = figures.ReadNumber("overshoot", 1, 100, bound.mOvershoot, kOptional);
+    bound.mSlack = figures.ReadNumber("slack", 0, 1e6, bound.mSlack, kOptional);
   });
   if (const auto* section = sections.Find("regions")) {
     for (const auto& it : section->mEntries) {
@@ -174,12 +263,13 @@
     }
   });
   sections.ReadSection("shutdown", [&](SectionReader& aReader) {
-    settings.mGrace = aReader.ReadDurationUpTo("grace", kMaxPeriod);
+    settings.mGrace = figuresOf(aReader, "shutdown").ReadDuration("grace", kDefaultGrace);
   });
   sections.ReadOptionalSection("callers", [&](SectionReader& aReader) {
     auto& callers = settings.mCallers;
-    callers.mMemoryMb = aReader.ReadCountIn("memory", 0, kMaxMemoryMb, 0);
-    callers.mDescriptors = aReader.ReadCountIn("descriptors", 0, kMaxDescriptors, 0);
+    auto figures = figuresOf(aReader, "callers");
+    callers.mMemoryMb = figures.ReadIntegralPart("memory", kMaxMemoryMb);
+    callers.mDescriptors = figures.ReadIntegralPart("descriptors", kMaxDescriptors);
     callers.mConnections = aReader.ReadCountIn("connections", 0, kMaxDescriptors, 0);
     callers.mHeaderLines =
       aReader.ReadCountIn("header_lines", 1, kMaxHeaderLines, callers.mHeaderLines);
--- a/modules/skylarkchute_relay/runtime/RelaySettings.h
+++ b/modules/skylarkchute_relay/runtime/RelaySettings.h
@@ -30,6 +30,8 @@
   std::optional<std::chrono::milliseconds> mEvacuationTime;
   std::chrono::milliseconds mGrace{ 0 }; /**< From the stop signal until the process is killed. */
   CallerSettings mCallers;
+  /** Keys without a value that got their default, as `SECTION.KEY = DEFAULT`. */
+  std::vector<std::string> mDefaulted;
   EventLevel mLogLevel = EventLevel::Info;
 };
 
--- a/tests/skylarkchute_core/SettingsTests.cpp
+++ b/tests/skylarkchute_core/SettingsTests.cpp
@@ -81,3 +81,21 @@
   CHECK(overrides.front().mKey == "caller_port");
   CHECK(overrides.front().mValue == "9999");
 }
+
+TEST_CASE("durations are numbers with a unit")
+{
+  CHECK(ReadDuration("250ms") == 250ms);
+  CHECK(ReadDuration("7.5s") == 7500ms);
+  CHECK(ReadDuration("8.0 s") == 8s);
+  CHECK(ReadDuration("0.25h") == 15min);
+  CHECK(ReadDuration("4999.6ms") == 5000ms);
+  CHECK(ReadDuration("87600h") == 87600h);
+  for (const auto* it :
+       { "", "s", "5", "5.5", "-5s", "+5s", "5 x", "5ss", "nans", "infs", "1e300s", "87601h" }) {
+    CAPTURE(it);
+    CHECK_FALSE(ReadDuration(it));
+  }
+  CHECK(IsWithoutValue(" "));
+  CHECK(IsWithoutValue("ms"));
+  CHECK_FALSE(IsWithoutValue("soon"));
+}
