Take a list for the first after an outage only if the store was away

What callers saw: the store cut off its waiting watches, and an endpoint left before the next list. Orders reached it for 2.3 to 2.55 s more.

Cause: a list after any failed call counted as the first one after an outage, in which entries expire; what it lacked was kept for 2.3 s.

Change: the store must have owed an answer for 1.5 s or longer. An answer with a status below 500 shows that it is there.

Why this works: entries expire after three heartbeats without one, so a shorter outage removes none; a longer one still keeps the entries.

--- a/modules/skylarkchute_relay/runtime/RelayRuntimeStore.cpp
+++ b/modules/skylarkchute_relay/runtime/RelayRuntimeStore.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/** Without a confirmation for this long, entries may have expired in an outage of the store. */
-constexpr std::chrono::milliseconds kOutageAge{ 1500 };
-
 TimePoint Now()
 {
   return std::chrono::steady_clock::now();
@@ -188,7 +185,7 @@
 ListOrigin RelayRuntime::OriginOfList() const
 {
   const auto age = mFollowing.ConfirmationAge(Now());
-  return age && *age >= kOutageAge ? ListOrigin::AfterOutage : ListOrigin::Normal;
+  return age && *age >= StoreWatcher::kOutageAge ? ListOrigin::AfterOutage : ListOrigin::Normal;
 }
 
 } // namespace skylarkchute
--- a/modules/skylarkchute_relay/store/StoreWatcher.cpp
+++ b/modules/skylarkchute_relay/store/StoreWatcher.cpp
@@ -47,6 +47,12 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kHistoryGone = 410;
+constexpr unsigned kServerErrors = 500;
+
+TimePoint Now()
+{
+  return std::chrono::steady_clock::now();
+}
 
 } // namespace
 
@@ -69,7 +75,7 @@
 {
   mPauseTimer.cancel();
   mCall->Cancel();
-  mFailures = 0;
+  OnAnswered();
   mIsStopped = false;
   List({});
 }
@@ -115,13 +121,21 @@
     mListing = KindSnapshot{};
     mListedAfter.clear();
   }
-  mCall->Start("GET",
-               ListTarget(mKind, aAfter),
-               {},
-               kListTimeout,
-               [self = shared_from_this()](const CallResult& aResult) {
-                 self->Handle(aResult, &StoreWatcher::OnListed);
-               });
+  Call(ListTarget(mKind, aAfter), milliseconds(0), kListTimeout, &StoreWatcher::OnListed);
+}
+
+/** Starts a call.
+    @param aWait  time for which the store may hold it before it answers */
+void StoreWatcher::Call(const std::string& aTarget,
+                        milliseconds aWait,
+                        milliseconds aTimeout,
+                        void (StoreWatcher::*aHandler)(const CallResult&))
+{
+  mAnswerDue = Now() + aWait;
+  mCall->Start(
+    "GET", aTarget, {}, aTimeout, [self = shared_from_this(), aHandler](const CallResult& aResult) {
+      self->Handle(aResult, aHandler);
+    });
 }
 
 /** Calls a handler of an answer. If it fails with an exception, the kind is tried again later,
@@ -133,7 +147,7 @@
     (this->*aHandler)(aResult);
   } catch (...) {
     if (!mCall->IsBusy()) {
-      ++mFailures;
+      CountFailure();
       ScheduleRetry();
     }
     throw;
@@ -180,13 +194,10 @@
     objects are of one state. */
 void StoreWatcher::CatchUpWithList()
 {
-  mCall->Start("GET",
-               WatchTarget(mKind, mListing.mAsOf, kCatchUpWait),
-               {},
-               kListTimeout,
-               [self = shared_from_this()](const CallResult& aResult) {
-                 self->Handle(aResult, &StoreWatcher::OnListCaughtUp);
-               });
+  Call(WatchTarget(mKind, mListing.mAsOf, kCatchUpWait),
+       kCatchUpWait,
+       kListTimeout,
+       &StoreWatcher::OnListCaughtUp);
 }
 
 void StoreWatcher::OnListCaughtUp(const CallResult& aResult)
@@ -210,15 +221,37 @@
 void StoreWatcher::FinishList()
 {
   mIsListing = false;
-  const auto origin = mFailures > 0 ? ListOrigin::AfterOutage : mListener.OriginOfList();
-  mFailures = 0;
+  const auto origin = OriginOfList();
+  OnAnswered();
   mWatchRevision = mListing.mAsOf;
-  mMirror.Replace(mKind, mListing, std::chrono::steady_clock::now(), origin);
+  mMirror.Replace(mKind, mListing, Now(), origin);
   mListing = KindSnapshot{};
   mListener.OnStoreSuccess(mKind);
   Watch(kWatchWait, kWatchWait + kWatchTimeoutMargin);
 }
 
+/** A call that fails alone, such as a watch that the store cuts off, says nothing about the
+   entries: what a list lacks after it was removed. */
+ListOrigin StoreWatcher::OriginOfList() const
+{
+  const bool wasAway = mAwaySince && Now() - *mAwaySince >= kOutageAge;
+  return wasAway ? ListOrigin::AfterOutage : mListener.OriginOfList();
+}
+
+void StoreWatcher::OnAnswered()
+{
+  mFailures = 0;
+  mAwaySince.reset();
+}
+
+void StoreWatcher::CountFailure()
+{
+  ++mFailures;
+  if (!mAwaySince) {
+    mAwaySince = std::min(mAnswerDue, Now());
+  }
+}
+
 /** Lists on after the last object of a page. Fails if the page has none, or was listed after
    before: the list would not end. */
 void StoreWatcher::ListNextPage(const StorePage& aPage)
@@ -243,13 +276,7 @@
     return;
   }
   mIsListing = false;
-  mCall->Start("GET",
-               WatchTarget(mKind, mWatchRevision, aWait),
-               {},
-               aTimeout,
-               [self = shared_from_this()](const CallResult& aResult) {
-                 self->Handle(aResult, &StoreWatcher::OnWatched);
-               });
+  Call(WatchTarget(mKind, mWatchRevision, aWait), aWait, aTimeout, &StoreWatcher::OnWatched);
 }
 
 void StoreWatcher::OnWatched(const CallResult& aResult)
@@ -267,12 +294,12 @@
     return;
   }
   SetEra(*page, era);
-  mFailures = 0;
+  OnAnswered();
   mWatchRevision = std::max(mWatchRevision, page->mAsOf);
   for (const auto& it : page->mObjects) {
     mListener.OnStoreChange(it.mRevision);
   }
-  mMirror.Apply(mKind, *page, std::chrono::steady_clock::now());
+  mMirror.Apply(mKind, *page, Now());
   mListener.OnStoreSuccess(mKind);
   if (page->mObjects.empty()) {
     Watch(kWatchWait, kWatchWait + kWatchTimeoutMargin);
@@ -290,12 +317,15 @@
 {
   RetryAfterFailure(aResult.mHasResponse ? "status " + std::to_string(aResult.mStatus)
                                          : "no answer");
+  if (aResult.mHasResponse && aResult.mStatus < kServerErrors) {
+    mAwaySince.reset(); // It refuses this call, but is there.
+  }
 }
 
 void StoreWatcher::RetryAfterFailure(const std::string& aReason)
 {
   mListener.OnStoreFailure(mKind, aReason);
-  ++mFailures;
+  CountFailure();
   ScheduleRetry();
 }
 
--- a/modules/skylarkchute_relay/store/StoreWatcher.h
+++ b/modules/skylarkchute_relay/store/StoreWatcher.h
@@ -3,6 +3,7 @@
 #include "../net/HttpCall.h"
 #include "StoreMirror.h"
 
+#include <optional>
 #include <set>
 #include <string>
 
@@ -33,6 +34,9 @@
 class StoreWatcher : public std::enable_shared_from_this<StoreWatcher>
 {
 public:
+  /** Entries may have expired while the store was away for this long. */
+  static constexpr std::chrono::milliseconds kOutageAge{ 1500 };
+
   /** @param aJitter  returns a random number from 0 to 1; spreads the retries of several instances
                       over time */
   StoreWatcher(boost::asio::io_context& aContext,
@@ -64,6 +68,10 @@
 private:
   void List(const std::string& aAfter);
   void Watch(std::chrono::milliseconds aWait, std::chrono::milliseconds aTimeout);
+  void Call(const std::string& aTarget,
+            std::chrono::milliseconds aWait,
+            std::chrono::milliseconds aTimeout,
+            void (StoreWatcher::*aHandler)(const CallResult&));
   void Handle(const CallResult& aResult, void (StoreWatcher::*aHandler)(const CallResult&));
   void OnListed(const CallResult& aResult);
   void ListNextPage(const StorePage& aPage);
@@ -72,6 +80,9 @@
   void FinishList();
   void OnWatched(const CallResult& aResult);
   std::uint64_t EraOfAnswer(const CallResult& aResult) const;
+  ListOrigin OriginOfList() const;
+  void OnAnswered();
+  void CountFailure();
   void RetryAfterFailure(const CallResult& aResult);
   void RetryAfterFailure(const std::string& aReason);
   void ScheduleRetry();
@@ -84,9 +95,11 @@
   std::shared_ptr<HttpCall> mCall;
   boost::asio::steady_timer mPauseTimer;
   KindSnapshot mListing;
-  std::set<std::string> mListedAfter; /**< Names that pages of mListing were listed after. */
-  StoreVersion mWatchRevision = 0;    /**< Last state received from the store itself. */
-  std::uint32_t mFailures = 0;        /**< Consecutive failed calls. */
+  std::set<std::string> mListedAfter;  /**< Names that pages of mListing were listed after. */
+  StoreVersion mWatchRevision = 0;     /**< Last state received from the store itself. */
+  std::uint32_t mFailures = 0;         /**< Consecutive failed calls. */
+  TimePoint mAnswerDue{};              /**< When the store should answer the call in progress. */
+  std::optional<TimePoint> mAwaySince; /**< Since when the store has owed an answer. */
   bool mIsStopped = true;
   bool mIsListing = false;
 };
