--- a/tests/skylarkchute_app/RelayTemplateTests.cpp
+++ b/tests/skylarkchute_app/RelayTemplateTests.cpp
@@ -143,3 +143,15 @@
   CHECK_FALSE(fixture.Settings());
   CHECK(fixture.mFaults.find("[callers] descriptors") != std::string::npos);
 }
+
+TEST_CASE("PINNED: sessions last as long as the platform states")
+{
+  // Guards against a lifetime of sessions that is the default on every deployment: sessions that
+  // pause for longer changed their version in the first half of a rollout.
+  TemplateFixture fixture;
+  fixture.Bound("SessionS") = "8.5";
+  const auto settings = fixture.Settings();
+  INFO(fixture.mFaults);
+  REQUIRE(settings);
+  CHECK(settings->mBounds.mSession == milliseconds(8500));
+}
