--- a/modules/skylarkchute_relay/net/ClientConnection.cpp
+++ b/modules/skylarkchute_relay/net/ClientConnection.cpp
@@ -43,8 +43,11 @@
   return aRequestHead.substr(0, kMethod.size()) == kMethod;
 }
 
+/** Longer idle timeouts of a server are cut to this. */
+constexpr std::chrono::hours kMaxIdleTimeout{ 24 };
+
 /** Parses the `timeout=N` parameter of a Keep-Alive header field.
-    @returns zero when it is missing or not a number */
+    @returns zero when it is missing or not a number; at most kMaxIdleTimeout */
 std::chrono::seconds KeepAliveTimeout(boost::beast::string_view aField)
 {
   constexpr std::string_view kParameter = "timeout=";
@@ -55,7 +58,8 @@
   }
   const auto rest = field.substr(start + kParameter.size());
   const auto digits = rest.substr(0, rest.find_first_not_of("0123456789"));
-  return std::chrono::seconds(ReadCount(digits).value_or(0));
+  constexpr std::uint64_t kMaxSeconds = std::chrono::seconds(kMaxIdleTimeout).count();
+  return std::chrono::seconds(std::min(ReadCount(digits).value_or(0), kMaxSeconds));
 }
 
 } // namespace
--- a/tests/skylarkchute_relay/ClientConnectionTests.cpp
+++ b/tests/skylarkchute_relay/ClientConnectionTests.cpp
@@ -77,6 +77,25 @@
   asio::steady_timer mDelay;
 };
 
+/** Sends a request without a body and returns the idle timeout that the answer states. */
+std::chrono::seconds StatedIdleTimeout(const std::string& aTimeout)
+{
+  RelayFixture fixture;
+  EarlyServer server(fixture.mLoop,
+                     "HTTP/1.1 200 -\r\nKeep-Alive: timeout=" + aTimeout +
+                       "\r\nContent-Length: 0\r\n\r\n",
+                     End::None);
+  const auto listener = std::make_shared<RecordingListener>();
+  const auto connection =
+    std::make_shared<ClientConnection>(fixture.mLoop, std::chrono::milliseconds(500));
+  connection->Send(
+    server.Address(), "GET / HTTP/1.1\r\n\r\n", std::make_shared<const std::string>(), listener);
+  fixture.RunUntil([&] { return listener->HasEnded(); });
+  const auto timeout = connection->IdleTimeout();
+  connection->Close();
+  return timeout;
+}
+
 /** Sends a request and waits for what comes of it. */
 std::shared_ptr<RecordingListener> Exchange(const std::string& aAnswer,
                                             End aEnd,
@@ -195,3 +214,12 @@
     CHECK(listener->mFailure == ConnectionFailure::Closed);
   }
 }
+
+TEST_CASE("a server's idle timeout beyond all bounds is cut")
+{
+  // Guards against an overflow of the lifetime of an idle connection.
+  CHECK(StatedIdleTimeout("5") == std::chrono::seconds(5));
+  CHECK(StatedIdleTimeout("9223372036854775807") == std::chrono::hours(24));
+  CHECK(StatedIdleTimeout("18446744073709551615") == std::chrono::hours(24));
+  CHECK(StatedIdleTimeout("99999999999999999999") == std::chrono::seconds(0));
+}
