Soak: cut watches, removed entries and teams, fractions, all relays killed

Change: the soak draws six more faults: all relays are killed, also in a rollout whose order they then learn last; the store cuts off watches or refuses one kind; an endpoint removes its entry without draining; the last team is removed; the grace period is written in any allowed form.

--- a/soak/Evidence.h
+++ b/soak/Evidence.h
@@ -27,8 +27,9 @@
   RequestKind mKind = RequestKind::Read;
   std::string mPath;
   std::string mBody;
-  std::string mPart; /**< Shared prompt part that crashes endpoints, else empty. */
-  int mVersion = 0;  /**< Probe: configuration that has the route. */
+  std::string mPart;           /**< Shared prompt part that crashes endpoints, else empty. */
+  int mVersion = 0;            /**< Probe: configuration that has the route. */
+  bool mHasUnknownKey = false; /**< Sent with a key that no configuration holds. */
   std::chrono::milliseconds mDeadline{ 0 };
   TimePoint mStart;
   std::optional<TimePoint> mSent; /**< When the whole request was written. */
@@ -79,6 +80,7 @@
   int mVersion = 0;
   TimePoint mSent;
   TimePoint mAcknowledged;
+  bool mHasTeams = true;
 };
 
 /** One roll-out that the operator ordered, and what the relays made of it. */
--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -40,6 +40,13 @@
 constexpr milliseconds kRolloutOverrun{ 1000 };
 constexpr int kGenerations = 1000; // Of an endpoint, at most, before its next version.
 constexpr const char* kDrainMs = "4000";
+constexpr milliseconds kCutInterval{ 100 };
+
+/** Forms in which the platform may state the grace period; the last one is none. */
+constexpr const char* kGraces[] = { "8s", "7.5s", "8.0s", "8000.5ms", "s" };
+
+/** Kinds whose calls the store refuses. */
+constexpr const char* kBusyKinds[] = { "rollouts", "servers", "config", "relays" };
 
 /** Returns a free port outside the range that the system gives to outgoing connections, where
    another process could take it before it is used. */
@@ -87,7 +94,7 @@
 }
 
 /** Returns a configuration; beside the lasting routes it has one that is named by its version. */
-Json::Value ConfigurationSpec(int aVersion)
+Json::Value ConfigurationSpec(int aVersion, bool aHasTeams)
 {
   Json::Value spec(Json::objectValue);
   spec["Version"] = aVersion;
@@ -106,8 +113,11 @@
   spec["Limits"]["MaxBodyBytes"] = 1048576;
   spec["Limits"]["HeaderTimeoutMs"] = 5000;
   spec["Limits"]["IdleTimeoutMs"] = 20000;
-  spec["Tenants"][0]["Name"] = "dispatch";
-  spec["Tenants"][0]["ApiKeys"].append("soak-key");
+  spec["Tenants"] = Json::Value(Json::arrayValue);
+  if (aHasTeams) {
+    spec["Tenants"][0]["Name"] = "dispatch";
+    spec["Tenants"][0]["ApiKeys"].append("soak-key");
+  }
   return spec;
 }
 
@@ -157,7 +167,7 @@
 {
   return aKind == FaultKind::StoreSilent || aKind == FaultKind::StoreBusy ||
          aKind == FaultKind::StoreSlow || aKind == FaultKind::StoreForgetting ||
-         aKind == FaultKind::StoreRestored;
+         aKind == FaultKind::StoreRestored || aKind == FaultKind::StoreKindBusy;
 }
 
 /** Returns whether clients are owed an answer although the endpoint does this. */
@@ -202,8 +212,9 @@
 
 } // namespace
 
-Fleet::Fleet(std::string aBuild, std::string aWork, std::uint32_t aRelays)
+Fleet::Fleet(std::string aBuild, std::string aProgram, std::string aWork, std::uint32_t aRelays)
   : mBuild(std::move(aBuild))
+  , mProgram(std::move(aProgram))
   , mWork(std::move(aWork))
 {
   StartStore();
@@ -215,7 +226,7 @@
   for (auto& it : mEndpoints) {
     StartEndpoint(it);
   }
-  Configure();
+  Configure(true);
   for (std::uint32_t n = 1; n <= aRelays; ++n) {
     mRelays.push_back(
       { "relay-" + std::to_string(n), FreePort(), FreePort(), FreePort(), FreePort() });
@@ -273,21 +284,30 @@
   aEndpoint.mRestartAt.reset();
 }
 
-void Fleet::StartRelay(Relay& aRelay)
+std::string Fleet::SettingsFile(const Relay& aRelay) const
 {
-  const auto settings = mWork + "/" + aRelay.mName + ".ini";
-  std::ofstream out(settings);
+  return mWork + "/" + aRelay.mName + ".ini";
+}
+
+void Fleet::WriteSettings(const Relay& aRelay) const
+{
+  std::ofstream out(SettingsFile(aRelay));
   out << "[instance]\nname = " << aRelay.mName
       << "\nzone = zone-a\n[listen]\ncallers = " << Local(aRelay.mCallerPort)
       << "\nready = " << Local(aRelay.mReadyPort) << "\npeers = " << Local(aRelay.mPeerPort)
       << "\nforwarded = " << Local(aRelay.mForwardPort)
       << "\n[platform]\nstore = " << Local(mStorePort) << "\nseeds = " << mSeeds
       << "\n[retries]\nratio = 0.9\nslack = 58\nwindow = 10s\n[rollouts]\nexposed_share = 0.15\n"
-         "exposed_slack = 30\n[shutdown]\ngrace = 8s\n[log]\nlevel = info\n";
-  out.close();
+         "exposed_slack = 30\n[shutdown]\ngrace = "
+      << aRelay.mGrace << "\n[log]\nlevel = info\n";
+}
+
+void Fleet::StartRelay(Relay& aRelay)
+{
+  WriteSettings(aRelay);
   const auto log = mWork + "/" + aRelay.mName + ".log";
   aRelay.mProcess = std::make_unique<ChildProcess>(
-    std::vector<std::string>{ mBuild + "/app/skylarkchute", "relay", "--settings", settings }, log);
+    std::vector<std::string>{ mProgram, "relay", "--settings", SettingsFile(aRelay) }, log);
   aRelay.mRestartAt.reset();
   aRelay.mLife = mEvidence.mLives.size();
   Life life;
@@ -335,14 +355,15 @@
 
 /** Writes the next configuration, as the operator. It counts as acknowledged if the store answers.
  */
-void Fleet::Configure()
+void Fleet::Configure(bool aHasTeams)
 {
   const int version = mVersion == 0 ? kFirstVersion : mVersion + 1;
   Json::Value body(Json::objectValue);
   body["Metadata"]["Name"] = "main";
-  body["Spec"] = ConfigurationSpec(version);
+  body["Spec"] = ConfigurationSpec(version, aHasTeams);
   Configuration configuration;
   configuration.mVersion = version;
+  configuration.mHasTeams = aHasTeams;
   configuration.mSent = Clock::now();
   auto status =
     CallOnce(mStorePort, "PUT", "/skylarkchute/objects/config/main", ToText(body), kCallTimeout)
@@ -356,6 +377,7 @@
   const bool isAcknowledged = status == 200 || status == 201;
   configuration.mAcknowledged = isAcknowledged ? Clock::now() : TimePoint::max() - kStartTimeout;
   mEvidence.mConfigurations.push_back(configuration);
+  mAwaitsTeams = aHasTeams && !isAcknowledged;
 }
 
 void Fleet::Disturb(Subject aSubject, const std::string& aName, TimePoint aBegin)
@@ -381,8 +403,16 @@
     BeginStoreFault(aFault);
     return true;
   }
-  if (aFault.mKind == FaultKind::Configured) {
-    Configure();
+  if (aFault.mKind == FaultKind::Configured || aFault.mKind == FaultKind::TeamsRemoved) {
+    Configure(aFault.mKind == FaultKind::Configured);
+    return true;
+  }
+  if (aFault.mKind == FaultKind::RelaysKilled) {
+    KillRelays();
+    return true;
+  }
+  if (aFault.mKind == FaultKind::StoreCutting) {
+    ++mOpenCuts;
     return true;
   }
   if (aFault.mKind == FaultKind::RolledOut) {
@@ -424,6 +454,8 @@
       if (Clock::now() < life.mBegin + kLoadTime) {
         return false;
       }
+      relay.mGrace = kGraces[aFault.mTarget / mRelays.size() % std::size(kGraces)];
+      WriteSettings(relay);
       mEvidence.mReloads.push_back(Clock::now());
       relay.mProcess->Signal(SIGHUP);
       break;
@@ -431,13 +463,29 @@
   return true;
 }
 
+void Fleet::KillRelays()
+{
+  for (auto& it : mRelays) {
+    if (it.mProcess && !it.mProcess->WaitStatus()) {
+      Disturb(Subject::Relay, it.mName, Clock::now());
+      mEvidence.mLives[it.mLife].mKilled = Clock::now();
+      it.mProcess->Signal(SIGKILL);
+    }
+  }
+}
+
 bool Fleet::BeginEndpointFault(const Fault& aFault)
 {
   auto& endpoint = mEndpoints[aFault.mTarget % mEndpoints.size()];
   if (!endpoint.mProcess || endpoint.mProcess->WaitStatus() || endpoint.mIsLeaving) {
     return false;
   }
-  if (aFault.mKind == FaultKind::EndpointLeaving) {
+  if (aFault.mKind == FaultKind::EndpointUnregistering &&
+      !SetSwitch(endpoint.mPort, R"({"unregister":true})")) {
+    return false;
+  }
+  if (aFault.mKind == FaultKind::EndpointLeaving ||
+      aFault.mKind == FaultKind::EndpointUnregistering) {
     endpoint.mIsLeaving = true;
     endpoint.mProcess->Signal(SIGTERM);
     return true;
@@ -485,6 +533,11 @@
     case FaultKind::StoreForgetting:
       CallOnce(mStorePort, "DELETE", "/standin/history", "", kCallTimeout);
       break;
+    case FaultKind::StoreKindBusy:
+      SetSwitch(mStorePort,
+                std::string(R"({"busy_kind":")") +
+                  kBusyKinds[aFault.mTarget % std::size(kBusyKinds)] + R"("})");
+      break;
     default:
       CallOnce(mStorePort, "POST", "/standin/copy", "", kCallTimeout);
       break;
@@ -523,9 +576,19 @@
     case FaultKind::StoreForgetting:
       Calm(Subject::Store, "store");
       break;
+    case FaultKind::StoreKindBusy:
+      SetSwitch(mStorePort, R"({"busy_kind":""})");
+      Calm(Subject::Store, "store");
+      break;
+    case FaultKind::StoreCutting:
+      --mOpenCuts;
+      break;
+    case FaultKind::TeamsRemoved:
+      Configure(true);
+      break;
     case FaultKind::StoreRestored:
       CallOnce(mStorePort, "POST", "/standin/restore", "", kCallTimeout);
-      Configure();
+      Configure(true);
       Calm(Subject::Store, "store");
       break;
     case FaultKind::PartCrashing: {
@@ -555,8 +618,15 @@
 {
   SuperviseRelays();
   SuperviseEndpoints();
+  if (mOpenCuts > 0 && Clock::now() >= mNextCut) {
+    mNextCut = Clock::now() + kCutInterval;
+    CallOnce(mStorePort, "DELETE", "/standin/watches", "", kCallTimeout);
+  }
   if (Clock::now() >= mNextSample) {
     mNextSample = Clock::now() + kSampleInterval;
+    if (mAwaitsTeams) {
+      Configure(true);
+    }
     SuperviseRollout();
     SampleReadiness();
     SampleResources(false);
@@ -572,7 +642,8 @@
   const auto number = static_cast<int>(mEvidence.mRollouts.size()) + 2;
   Rollout rollout;
   rollout.mService = mEndpoints[aFault.mTarget % mEndpoints.size()].mService;
-  rollout.mVersion = "v" + std::to_string(number);
+  // The names of new versions sort before those of older ones and after them.
+  rollout.mVersion = (aFault.mTarget / 2 % 2 == 0 ? "v" : "u") + std::to_string(number);
   rollout.mIsBad = aFault.mTarget % 2 == 1;
   for (const auto& it : mEndpoints) {
     if (it.mService == rollout.mService) {
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -18,10 +18,11 @@
 {
 public:
   /** Starts all processes and waits until the relays are ready.
-      @param aBuild  build directory of the programs
-      @param aWork   directory for settings, logs and records
+      @param aBuild    build directory of the stand-ins
+      @param aProgram  file of the relay's program
+      @param aWork     directory for settings, logs and records
       @throws std::runtime_error  if a process does not start */
-  Fleet(std::string aBuild, std::string aWork, std::uint32_t aRelays);
+  Fleet(std::string aBuild, std::string aProgram, std::string aWork, std::uint32_t aRelays);
 
   /** Begins a fault. @returns false if its target is not there at the moment */
   bool Begin(const Fault& aFault);
@@ -65,6 +66,7 @@
     std::size_t mLife = 0; /**< Index into mLives. */
     std::optional<TimePoint> mRestartAt = std::nullopt;
     int mMisses = 0;
+    std::string mGrace = "8s"; /**< As in its settings. */
   };
 
   struct Endpoint
@@ -82,11 +84,14 @@
 
   void StartStore();
   void StartEndpoint(Endpoint& aEndpoint);
+  std::string SettingsFile(const Relay& aRelay) const;
+  void WriteSettings(const Relay& aRelay) const;
   void StartRelay(Relay& aRelay);
   std::uint16_t AwaitPort(ChildProcess& aProcess, const std::string& aLogFile) const;
   void AwaitReadiness();
   bool SetSwitch(std::uint16_t aPort, const std::string& aSwitches) const;
-  void Configure();
+  void Configure(bool aHasTeams);
+  void KillRelays();
   bool BeginRelayFault(const Fault& aFault);
   bool BeginEndpointFault(const Fault& aFault);
   void SetEndpointSwitches(const Fault& aFault, bool aIsBegin);
@@ -105,6 +110,7 @@
   void ReadRecords();
 
   std::string mBuild;
+  std::string mProgram;
   std::string mWork;
   std::unique_ptr<ChildProcess> mStore;
   std::uint16_t mStorePort = 0;
@@ -116,6 +122,9 @@
   Evidence mEvidence;
   std::map<std::pair<Subject, std::string>, std::vector<TimePoint>> mOpenDisturbances;
   TimePoint mNextSample;
+  TimePoint mNextCut;
+  int mOpenCuts = 0;         /**< Faults in which watches are cut off. */
+  bool mAwaitsTeams = false; /**< The store has not taken the configuration with teams yet. */
   std::atomic<int> mVersion{ 0 };
   int mCrashes = 0;
   mutable std::mutex mMutex; /**< Guards mReady and mCrashingPart. */
--- a/soak/Main.cpp
+++ b/soak/Main.cpp
@@ -39,6 +39,7 @@
   int mMinutes = 1;
   std::uint32_t mRelays = kMinRelays;
   std::string mBuild = "build";
+  std::string mProgram; /**< Of the relays; empty for that of the build directory. */
   std::string mCsvFile;
 };
 
@@ -54,6 +55,7 @@
   add("minutes", options::value(&aOut.mMinutes)->default_value(1), "length, 1 to 60");
   add("processes", options::value(&aOut.mRelays)->default_value(kMinRelays), "relays, 3 to 100");
   add("build", options::value(&aOut.mBuild)->default_value("build"), "build directory");
+  add("program", options::value(&aOut.mProgram), "program of the relays, also of an earlier build");
   add("csv", options::value(&aOut.mCsvFile), "file for the counts of each second");
   options::variables_map values;
   options::store(options::parse_command_line(aCount, aArguments, description), values);
@@ -163,7 +165,9 @@
                  const std::string& aWork,
                  TimePoint& aBegin)
 {
-  Fleet fleet(aOptions.mBuild, aWork, aOptions.mRelays);
+  const auto program =
+    aOptions.mProgram.empty() ? aOptions.mBuild + "/app/skylarkchute" : aOptions.mProgram;
+  Fleet fleet(aOptions.mBuild, program, aWork, aOptions.mRelays);
   aBegin = Clock::now();
   const auto end = aBegin + std::chrono::minutes(aOptions.mMinutes);
   auto clients = StartClients(fleet, aOptions.mSeed);
--- a/soak/PromiseChecker.cpp
+++ b/soak/PromiseChecker.cpp
@@ -138,6 +138,7 @@
            CheckConfigurationInForce(),
            CheckConfigurationKept(),
            CheckDroppedRoutes(),
+           CheckKeys(),
            CheckDraining(),
            CheckCrashingPart(),
            CheckRollouts(),
@@ -471,6 +472,28 @@
   return result;
 }
 
+CheckResult PromiseChecker::CheckKeys() const
+{
+  CheckResult result{ "a request runs only with a key that is in force", 0, 0, {} };
+  for (const auto& it : mEvidence.mExchanges) {
+    const bool isRevoked =
+      std::any_of(mEvidence.mConfigurations.begin(),
+                  mEvidence.mConfigurations.end(),
+                  [&](const auto& aOther) { return !aOther.mHasTeams && IsInForce(it, aOther); });
+    if (!it.mHasUnknownKey && !isRevoked) {
+      continue;
+    }
+    ++result.mCases;
+    if (const auto runs = mRunsById.find(it.mId); runs != mRunsById.end()) {
+      Violate(result,
+              it.mId,
+              runs->second.front()->mEndpoint + " ran it for " + it.mRelay + " with " +
+                (it.mHasUnknownKey ? "an unknown key" : "a revoked key"));
+    }
+  }
+  return result;
+}
+
 CheckResult PromiseChecker::CheckDraining() const
 {
   CheckResult result{ "a draining endpoint gets no requests", 0, 0, {} };
@@ -626,7 +649,7 @@
   std::size_t served = 0;
   for (const auto& it : mEvidence.mExchanges) {
     if (it.mStart < mEvidence.mLastFaultEnd + kRecoveryTime || it.mIsGivenUp ||
-        it.mKind == RequestKind::Probe || !it.mPart.empty()) {
+        it.mKind == RequestKind::Probe || !it.mPart.empty() || it.mHasUnknownKey) {
       continue;
     }
     ++result.mCases;
--- a/soak/PromiseChecker.h
+++ b/soak/PromiseChecker.h
@@ -47,6 +47,7 @@
   CheckResult CheckConfigurationInForce() const;
   CheckResult CheckConfigurationKept() const;
   CheckResult CheckDroppedRoutes() const;
+  CheckResult CheckKeys() const;
   CheckResult CheckDraining() const;
   CheckResult CheckCrashingPart() const;
   CheckResult CheckRollouts() const;
--- a/soak/Schedule.cpp
+++ b/soak/Schedule.cpp
@@ -23,6 +23,11 @@
 constexpr milliseconds kRecovery{ 15000 };
 
 constexpr milliseconds kOrderPause{ 800 };
+constexpr milliseconds kCuts{ 1600 };
+constexpr milliseconds kKindBusy{ 1300 };
+
+/** Target of StoreKindBusy that stands for the kind `rollouts`. */
+constexpr std::uint32_t kRolloutsTarget = 0;
 constexpr std::uint32_t kOrderEndpoint = 3;
 
 /** Six endpoints, each alone or with its service. */
@@ -35,12 +40,14 @@
   FaultKind::EndpointLeaving,   FaultKind::EndpointLimited,  FaultKind::EndpointPausing,
   FaultKind::EndpointDeparting, FaultKind::StoreSilent,      FaultKind::StoreBusy,
   FaultKind::StoreSlow,         FaultKind::StoreForgetting,  FaultKind::StoreRestored,
-  FaultKind::Configured,
+  FaultKind::Configured,        FaultKind::RelaysKilled,     FaultKind::EndpointUnregistering,
+  FaultKind::StoreCutting,      FaultKind::StoreKindBusy,    FaultKind::TeamsRemoved,
 };
 
 const std::vector<FaultKind> kPlanned{
-  FaultKind::RelayStopped,    FaultKind::RelayStopped,   FaultKind::RelayReloaded,
-  FaultKind::EndpointLeaving, FaultKind::EndpointSilent, FaultKind::Configured,
+  FaultKind::RelayStopped,    FaultKind::RelayStopped,          FaultKind::RelayReloaded,
+  FaultKind::EndpointLeaving, FaultKind::EndpointSilent,        FaultKind::Configured,
+  FaultKind::StoreCutting,    FaultKind::EndpointUnregistering,
 };
 
 class ScheduleBuilder
@@ -64,6 +71,26 @@
     mFaults.push_back({ aAt, milliseconds(0), FaultKind::RolledOut, target });
   }
 
+  /** In a third of the cases kills all relays soon after a rollout was ordered, and lets them learn
+      of the endpoints before the order. */
+  void AddKillInRollout(milliseconds aOrdered)
+  {
+    const auto at = aOrdered + Between(500, 2500);
+    if (mRandom() % 3 == 0) {
+      mFaults.push_back({ at, milliseconds(0), FaultKind::RelaysKilled, 0 });
+      mFaults.push_back({ at, kKindBusy, FaultKind::StoreKindBusy, kRolloutsTarget });
+    }
+  }
+
+  /** Lets an endpoint leave while the store cuts off watches. */
+  void AddRemovalWhileCut(milliseconds aAt)
+  {
+    const auto target = static_cast<std::uint32_t>(mRandom() % kEndpointTargets);
+    mFaults.push_back({ aAt, kCuts, FaultKind::StoreCutting, 0 });
+    mFaults.push_back(
+      { aAt + kCuts / 4, milliseconds(0), FaultKind::EndpointUnregistering, target });
+  }
+
   /** Lets the endpoints of orders refuse, so that there are refusals to check. */
   void AddPause(milliseconds aAt)
   {
@@ -75,7 +102,14 @@
     mFaults.push_back({ aAt, kCrashes, FaultKind::PartCrashing, 0 });
   }
 
-  std::vector<Fault> Finish() { return std::move(mFaults); }
+  /** Returns the faults in order of their start. */
+  std::vector<Fault> Finish()
+  {
+    std::stable_sort(mFaults.begin(), mFaults.end(), [](const Fault& aLeft, const Fault& aRight) {
+      return aLeft.mAt < aRight.mAt;
+    });
+    return std::move(mFaults);
+  }
 
 private:
   milliseconds Between(int aLeast, int aMost)
@@ -97,12 +131,14 @@
     { FaultKind::RelayKilled, "relay-killed" },
     { FaultKind::RelayStopped, "relay-stopped" },
     { FaultKind::RelayReloaded, "relay-reloaded" },
+    { FaultKind::RelaysKilled, "relays-killed" },
     { FaultKind::EndpointSilent, "endpoint-silent" },
     { FaultKind::EndpointSlow, "endpoint-slow" },
     { FaultKind::EndpointFailing, "endpoint-failing" },
     { FaultKind::EndpointBreaking, "endpoint-breaking" },
     { FaultKind::EndpointKilled, "endpoint-killed" },
     { FaultKind::EndpointLeaving, "endpoint-leaving" },
+    { FaultKind::EndpointUnregistering, "endpoint-unregistering" },
     { FaultKind::EndpointDeparting, "endpoint-departing" },
     { FaultKind::EndpointLimited, "endpoint-limited" },
     { FaultKind::EndpointPausing, "endpoint-pausing" },
@@ -111,9 +147,12 @@
     { FaultKind::StoreBusy, "store-busy" },
     { FaultKind::StoreSlow, "store-slow" },
     { FaultKind::StoreForgetting, "store-forgetting" },
+    { FaultKind::StoreCutting, "store-cutting" },
+    { FaultKind::StoreKindBusy, "store-kind-busy" },
     { FaultKind::StoreRestored, "store-restored" },
     { FaultKind::RolledOut, "rolled-out" },
     { FaultKind::Configured, "configured" },
+    { FaultKind::TeamsRemoved, "teams-removed" },
   };
   return names.at(aKind);
 }
@@ -131,10 +170,12 @@
     at += kStorm + kPause;
     if (at + kPlannedWork <= end) {
       builder.AddRollout(at);
+      builder.AddKillInRollout(at);
     }
     builder.AddSeries(kPlanned, at, std::min(at + kPlannedWork, end));
     at += kPlannedWork;
     if (at + kCrashes <= end) {
+      builder.AddRemovalWhileCut(at);
       builder.AddCrashes(at);
     }
     at += kCrashes + kPause;
--- a/soak/Schedule.h
+++ b/soak/Schedule.h
@@ -13,24 +13,29 @@
   RelayPaused,    /**< SIGSTOP, then SIGCONT. */
   RelayKilled,    /**< SIGKILL, then a start. */
   RelayStopped,   /**< SIGTERM, then a start. */
-  RelayReloaded,  /**< SIGHUP. */
+  RelayReloaded,  /**< New settings, their figures in any form that is allowed, then SIGHUP. */
+  RelaysKilled,   /**< SIGKILL to all at once, then a start. */
   EndpointSilent, /**< Sends nothing for a while, then goes on. */
   EndpointSlow,
   EndpointFailing,  /**< Answers 500. */
   EndpointBreaking, /**< Closes each stream after two events. */
   EndpointKilled,
-  EndpointLeaving,   /**< SIGTERM: states `draining`, then leaves. */
-  EndpointDeparting, /**< States in its answers that it leaves. */
-  EndpointLimited,   /**< Names a limit. */
-  EndpointPausing,   /**< Refuses and names a pause. */
-  PartCrashing,      /**< A prompt part ends each endpoint that runs it. */
+  EndpointLeaving,       /**< SIGTERM: states `draining`, then leaves. */
+  EndpointUnregistering, /**< Removes its entry without `draining`, then leaves. */
+  EndpointDeparting,     /**< States in its answers that it leaves. */
+  EndpointLimited,       /**< Names a limit. */
+  EndpointPausing,       /**< Refuses and names a pause. */
+  PartCrashing,          /**< A prompt part ends each endpoint that runs it. */
   StoreSilent,
   StoreBusy,
   StoreSlow,
   StoreForgetting, /**< Loses its history. */
+  StoreCutting,    /**< Cuts off the watches that wait, again and again. */
+  StoreKindBusy,   /**< Refuses the calls on one kind of objects. */
   StoreRestored,   /**< Copied at the start of the fault, restored at its end. */
   RolledOut,       /**< A new version; a bad one if the target is odd. */
   Configured,      /**< The operator writes a new configuration. */
+  TeamsRemoved,    /**< The operator takes the last team away, and gives it back at the end. */
 };
 
 struct Fault
--- a/soak/SoakClient.cpp
+++ b/soak/SoakClient.cpp
@@ -27,6 +27,7 @@
 constexpr std::uint64_t kStreams = 40;
 constexpr std::uint64_t kOrders = 25;
 constexpr std::uint64_t kGivenUpStreams = 5;
+constexpr std::uint64_t kUnknownKeys = 3;
 
 /** Returns the shared prompt part of a request: one of sixteen, by the end of its id. */
 std::string SubjectOf(const Exchange& aExchange)
@@ -40,7 +41,8 @@
   std::string head = (hasBody ? "POST " : "GET ") + aExchange.mPath + " HTTP/1.1\r\n";
   head += "Host: soak.example\r\nSkylarkchute-Request-Id: " + aExchange.mId + "\r\n";
   head += "Skylarkchute-Deadline-Ms: " + std::to_string(aExchange.mDeadline.count()) + "\r\n";
-  head += "Skylarkchute-Credential: soak-key\r\n";
+  head += "Skylarkchute-Credential: ";
+  head += aExchange.mHasUnknownKey ? "key-of-nobody\r\n" : "soak-key\r\n";
   if (aExchange.mKind == RequestKind::Stream) {
     const auto shared = aExchange.mPart.empty() ? SubjectOf(aExchange) : aExchange.mPart;
     head += "Skylarkchute-Model: small\r\nSkylarkchute-Token-Counts: 40,8\r\n";
@@ -126,6 +128,7 @@
     exchange.mBody = "order " + exchange.mId;
   } else {
     exchange.mPath = "/boxes/" + exchange.mId;
+    exchange.mHasUnknownKey = draw >= 100 - kUnknownKeys;
   }
   return exchange;
 }
--- a/standins/users_platform/UsersEndpointStandIn.cpp
+++ b/standins/users_platform/UsersEndpointStandIn.cpp
@@ -58,6 +58,7 @@
   mSwitches["break_after"] = 0;
   mSwitches["silent_ms"] = 0;
   mSwitches["leaving"] = false;
+  mSwitches["unregister"] = false;
   mSwitches["limit"] = 0;
   mSwitches["pause_s"] = 0;
   mSwitches["cold_ms"] = 0;
@@ -75,11 +76,13 @@
 {
   mIsDraining = true;
   mHeartbeatThread.join();
-  if (Register("draining") == kOk) {
+  const auto entry = kServersPath + ("/" + mOptions.mId);
+  const bool removesEntry = SwitchValue("unregister").asBool();
+  if ((removesEntry ? CallStore("DELETE", entry, {}) : Register("draining")) == kOk) {
     RecordDraining();
   }
   std::this_thread::sleep_for(mOptions.mDrainTime);
-  CallStore("DELETE", kServersPath + ("/" + mOptions.mId), {});
+  CallStore("DELETE", entry, {});
 }
 
 void UsersEndpointStandIn::SendHeartbeats()
@@ -242,7 +245,7 @@
   }
 }
 
-/** Records that the store has accepted the state `draining`. */
+/** Records that the store has accepted the state `draining`, or the removal of the entry. */
 void UsersEndpointStandIn::RecordDraining()
 {
   Json::Value line(Json::objectValue);
--- a/standins/users_platform/UsersEndpointStandIn.h
+++ b/standins/users_platform/UsersEndpointStandIn.h
@@ -41,7 +41,7 @@
   explicit UsersEndpointStandIn(Options aOptions);
 
   /** Sets the state `draining`, serves for Options::mDrainTime, then removes the entry from the
-      store. */
+      store. With the switch `unregister` the entry is removed first. */
   ~UsersEndpointStandIn();
 
   UsersEndpointStandIn(const UsersEndpointStandIn&) = delete;
--- a/standins/users_platform/UsersStore.cpp
+++ b/standins/users_platform/UsersStore.cpp
@@ -82,8 +82,12 @@
   const auto isGone = [&] {
     return aRevision < mHistoryStartRevision || aRevision > mRevision || era != mEra;
   };
+  const auto cuts = mCuts;
   mChanged.wait_until(
-    lock, end, [&] { return isGone() || !EventsAfter(aKind, aRevision).empty(); });
+    lock, end, [&] { return cuts != mCuts || isGone() || !EventsAfter(aKind, aRevision).empty(); });
+  if (cuts != mCuts) {
+    return { 0, {} };
+  }
   if (isGone()) {
     return { kHistoryGone, {} };
   }
@@ -93,6 +97,13 @@
   return { kOk, page };
 }
 
+void UsersStore::CutWatches()
+{
+  const std::lock_guard lock(mMutex);
+  ++mCuts;
+  mChanged.notify_all();
+}
+
 void UsersStore::RecordChange(const Key& aKey, const Json::Value& aObject, bool aIsDeleted)
 {
   Json::Value event(Json::objectValue);
--- a/standins/users_platform/UsersStore.h
+++ b/standins/users_platform/UsersStore.h
@@ -43,7 +43,8 @@
 
   /** Returns the changes of a kind after a revision.
       @param aWait  longest wait for a change; the result has no events after it
-      @returns 410 if the history does not reach back to the revision */
+      @returns 410 if the history does not reach back to the revision, and zero if CutWatches()
+               ended the wait */
   Outcome Watch(const std::string& aKind, std::uint64_t aRevision, std::chrono::milliseconds aWait);
 
   /** Creates an object from a body with `Metadata` and `Spec`. @returns 409 if it exists */
@@ -62,6 +63,9 @@
   /** Discards the change history. Pending watches end with 410. */
   void DropHistory();
 
+  /** Ends pending watches with the status zero: their connections are to be closed. */
+  void CutWatches();
+
   /** Copies all objects and the revision. */
   void TakeCopy();
 
@@ -90,6 +94,7 @@
   std::deque<Change> mHistory;
   std::uint64_t mRevision = 100;
   std::uint64_t mEra = 1;
+  std::uint64_t mCuts = 0; /**< Calls of CutWatches(). */
   std::map<Key, Json::Value> mCopiedObjects;
   std::uint64_t mCopiedRevision = 100;
   std::uint64_t mHistoryStartRevision = 0; /**< Watches from an older revision are refused. */
--- a/standins/users_platform/UsersStoreStandIn.cpp
+++ b/standins/users_platform/UsersStoreStandIn.cpp
@@ -94,7 +94,10 @@
   if (WithholdIfLost(aRequest, outcome) || WithholdIfSilent(silences)) {
     return;
   }
-
+  if (outcome.mStatus == 0) {
+    AbortConnection(aRequest);
+    return;
+  }
   aResponse.set(kEraHeader, std::to_string(mStore.Era()));
   Respond(aResponse, outcome.mStatus, outcome.mBody);
 }
@@ -140,7 +143,11 @@
     Respond(aResponse, kOk, Json::Value(Json::objectValue));
     return;
   }
-
+  if (path == "/standin/watches" && aRequest.getMethod() == "DELETE") {
+    mStore.CutWatches();
+    Respond(aResponse, kOk, Json::Value(Json::objectValue));
+    return;
+  }
   if (path == "/standin/copy" && aRequest.getMethod() == "POST") {
     mStore.TakeCopy();
     Respond(aResponse, kOk, Json::Value(Json::objectValue));
--- a/tests/skylarkchute_soak/PromiseCheckerTests.cpp
+++ b/tests/skylarkchute_soak/PromiseCheckerTests.cpp
@@ -95,6 +95,10 @@
     { "service", "v2", false, At(seconds(50)), At(seconds(56)), "completed" });
   evidence.mRollouts.push_back(
     { "endpoint", "v3", true, At(seconds(50)), At(seconds(56)), "rolled_back" });
+  auto stranger = Answered("stranger", RequestKind::Read, seconds(11));
+  stranger.mHasUnknownKey = true;
+  stranger.mStatus = 401;
+  evidence.mExchanges.push_back(stranger);
   evidence.mDrainedEndpoints.push_back("endpoint-1");
   evidence.mReadiness.push_back({ "relay-2", At(seconds(21)), true });
   evidence.mResources.push_back({ "relay-1", At(seconds(50)), 20'000'000, 60, true });
@@ -171,6 +175,10 @@
     [](Evidence& it) { Find(it, "second").mStatus = 404; } },
   { "a dropped route is not run",
     [](Evidence& it) { it.mRuns.push_back(RunOf(Find(it, "dropped"))); } },
+  { "a request runs only with a key that is in force",
+    [](Evidence& it) { it.mRuns.push_back(RunOf(Find(it, "stranger"))); } },
+  { "a request runs only with a key that is in force",
+    [](Evidence& it) { it.mConfigurations.back().mHasTeams = false; } },
   { "a draining endpoint gets no requests",
     [](Evidence& it) { it.mRuns.front().mDraining = milliseconds(2500); } },
   { "a prompt part that crashes endpoints is stopped",
--- a/tests/skylarkchute_soak/ScheduleTests.cpp
+++ b/tests/skylarkchute_soak/ScheduleTests.cpp
@@ -44,3 +44,19 @@
     }));
   }
 }
+
+TEST_CASE("In some schedules all relays are killed in a rollout whose order they then learn late")
+{
+  int kills = 0;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    const auto schedule = MakeSchedule(seed, seconds(120), 3);
+    for (std::size_t n = 1; n < schedule.size(); ++n) {
+      const auto& before = schedule[n - 1];
+      kills += before.mKind == FaultKind::RelaysKilled &&
+                   schedule[n].mKind == FaultKind::StoreKindBusy && before.mAt == schedule[n].mAt
+                 ? 1
+                 : 0;
+    }
+  }
+  CHECK(kills > 10);
+}
