Soak: a stop signal before a relay's main function ends it by default

The check allows the signal's default effect within the load time that SIGHUP is excused for already; any other status, or the signal later on, still breaks it (new test).

--- a/soak/Evidence.h
+++ b/soak/Evidence.h
@@ -11,6 +11,10 @@
 using Clock = std::chrono::steady_clock;
 using TimePoint = Clock::time_point;
 
+/** Time from the start of a process in which its main function may not run yet, so that a signal
+    has its default effect. */
+inline constexpr std::chrono::milliseconds kLoadTime{ 300 };
+
 enum class RequestKind
 {
   Order,  /**< May run at most once. */
--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -34,7 +34,6 @@
 constexpr int kFirstVersion = 10;
 constexpr int kSilenceMs = 10000; // Ended before, with the fault.
 constexpr int kSlowMs = 400;
-constexpr milliseconds kLoadTime{ 300 };
 constexpr milliseconds kEndpointStart{ 100 };
 constexpr std::chrono::seconds kRolloutPeriod{ 6 };
 constexpr milliseconds kRolloutOverrun{ 1000 };
--- a/soak/PromiseChecker.cpp
+++ b/soak/PromiseChecker.cpp
@@ -4,6 +4,7 @@
 #include <sys/wait.h>
 
 #include <algorithm>
+#include <csignal>
 #include <memory>
 
 namespace skylarkchute::soak {
@@ -617,6 +618,16 @@
   return result;
 }
 
+/** Returns whether a relay ended as it was told to. A stop signal that arrives before its main
+    function runs, when it has accepted no connection, ends it by its default effect. */
+bool PromiseChecker::HasEndedAsTold(const Life& aLife)
+{
+  const bool hasLoaded = *aLife.mStopped >= aLife.mBegin + kLoadTime;
+  const auto status = aLife.mWaitStatus;
+  return (WIFEXITED(status) && WEXITSTATUS(status) == 0) ||
+         (!hasLoaded && WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM);
+}
+
 CheckResult PromiseChecker::CheckLives() const
 {
   CheckResult result{ "a relay ends when told, in time, and only then", 0, 0, {} };
@@ -628,7 +639,7 @@
     if (!it.mStopped) {
       Violate(
         result, "", it.mRelay + " ended by itself, wait status " + std::to_string(it.mWaitStatus));
-    } else if (!it.mKilled && (!WIFEXITED(it.mWaitStatus) || WEXITSTATUS(it.mWaitStatus) != 0)) {
+    } else if (!it.mKilled && !HasEndedAsTold(it)) {
       Violate(result,
               "",
               it.mRelay + " ended after SIGTERM with wait status " +
--- a/soak/PromiseChecker.h
+++ b/soak/PromiseChecker.h
@@ -61,6 +61,7 @@
   bool AreEndpointsCalm(TimePoint aFrom, TimePoint aTo) const;
   const Life* LifeAt(const std::string& aRelay, TimePoint aAt) const;
   bool HasPlannedWork(const Exchange& aExchange) const;
+  static bool HasEndedAsTold(const Life& aLife);
   bool IsCut(const Exchange& aExchange) const;
   bool IsInForce(const Exchange& aExchange, const Configuration& aConfiguration) const;
   bool IsRelaySettled(const Exchange& aExchange, TimePoint aFrom) const;
--- a/tests/skylarkchute_soak/PromiseCheckerTests.cpp
+++ b/tests/skylarkchute_soak/PromiseCheckerTests.cpp
@@ -267,3 +267,19 @@
   evidence.mDisturbances.push_back({ Subject::Relay, "relay-2", At(seconds(19)), At(seconds(21)) });
   CHECK(BrokenPromises(evidence).empty());
 }
+
+TEST_CASE("A stop signal in the first moment of a process ends it by its default effect")
+{
+  auto evidence = Kept();
+  auto& life = evidence.mLives.back();
+  life.mWaitStatus = SIGTERM;
+  life.mStopped = life.mBegin + milliseconds(30);
+  life.mEnd = life.mBegin + milliseconds(60);
+  CHECK(BrokenPromises(evidence).empty());
+  life.mWaitStatus = SIGSEGV;
+  CHECK(BrokenPromises(evidence).size() == 1);
+  life.mWaitStatus = SIGTERM;
+  life.mStopped = life.mBegin + kLoadTime;
+  life.mEnd = life.mBegin + seconds(1);
+  CHECK(BrokenPromises(evidence).size() == 1);
+}
