Try a version with more subjects where sessions last longer

Cause: the trial begins once uses were tracked for a session lifetime, 9.5 s after the order in place of 6. It gave fewer than the 20 answers that are needed before sessions may move; half of the subjects then tried at once, at few endpoints, which were slow and so judged bad.

Change: the canary share is larger by the factor by which the trial is shorter, three at most. With 5 s it is as before; the exposure limit is unchanged.

Tried first and not taken: endpoints in proportion to the share that tries, which broke PINNED once.

--- a/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
@@ -42,6 +42,11 @@
 /** Approximate time until the use of a subject is known to the other instances. */
 constexpr std::chrono::milliseconds kPropagationDelay{ 1000 };
 
+/** Session lifetime for which kCanaryShare gives enough answers, and the largest factor by which
+    longer ones raise it. */
+constexpr std::chrono::milliseconds kUsualSession{ 5000 };
+constexpr double kMaxCanaryGrowth = 3;
+
 /** Peer counts are forwarded for this long after a change; by then all instances know them. */
 constexpr std::chrono::milliseconds kForwardPeriod{ 4000 };
 
@@ -184,10 +189,21 @@
   return std::chrono::duration<double>(aNow - aRollout.mStart) / period;
 }
 
-double RolloutTracker::CanaryShare() const
+/** Returns the share of the subjects that may use the newer version at first. It is larger where
+    sessions last longer: the trial then begins later, and has to give as many answers in less time
+    before sessions may move. */
+double RolloutTracker::CanaryShare(const Rollout& aRollout) const
 {
+  using Seconds = std::chrono::duration<double>;
   const auto instances = static_cast<double>(std::max<std::size_t>(mInstances, 1));
-  return kCanaryShare * std::min(1.0, std::sqrt(kSmallFleet / instances));
+  const double share = kCanaryShare * std::min(1.0, std::sqrt(kSmallFleet / instances));
+  const Seconds end = kSessionMoveStart * Seconds(aRollout.mOrder.mPeriod);
+  const Seconds usual = end - Seconds(kUsualSession + kPropagationDelay);
+  const Seconds left = end - Seconds(mSessionLifetime + kPropagationDelay);
+  if (left <= Seconds(0)) {
+    return share;
+  }
+  return share * std::clamp(usual / left, 1.0, kMaxCanaryGrowth);
 }
 
 /** Returns whether one more request to the newer version keeps to this instance's part of a limit.
@@ -224,13 +240,14 @@
     return true;
   }
   const double moveOrder = MoveOrderOf(aSubject, target);
+  const double canaryShare = CanaryShare(aRollout);
   if (progress >= kRampStart && hasEvidence) {
     // Subjects move gradually, so that the newer endpoints do not process all prompts at once.
     const double part = (progress - kRampStart) / (kFullShareStart - kRampStart);
-    return moveOrder < CanaryShare() + (1 - CanaryShare()) * part;
+    return moveOrder < canaryShare + (1 - canaryShare) * part;
   }
   const bool hasLowTraffic = progress >= kSessionMoveStart && !hasEvidence;
-  if (moveOrder >= (hasLowTraffic ? LowTrafficShare(progress) : CanaryShare()) ||
+  if (moveOrder >= (hasLowTraffic ? LowTrafficShare(progress) : canaryShare) ||
       !MayExpose(aRollout, std::min(kMaxCanaryExposure, mBound.mShare))) {
     return false;
   }
@@ -267,7 +284,7 @@
         (!hasOlder && MayReplaceOlder(*rollout, aNow))) {
       KeepVersion(aOpen, rollout->mOrder.mTarget);
       if (hasOlder && progress < kRampStart) {
-        KeepCanaryEndpoints(aOpen, CanaryShare());
+        KeepCanaryEndpoints(aOpen, CanaryShare(*rollout));
       }
       return;
     }
@@ -463,9 +480,10 @@
   if (aRollout.mIsStopped || Progress(aRollout, aNow) >= kSessionMoveStart) {
     return uses;
   }
+  const double canaryShare = CanaryShare(aRollout);
   for (const auto& [subject, known] : mSubjects) {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aNow - known.mLastUse);
-    if (age < kUseReportPeriod && MoveOrderOf(subject, aRollout.mOrder.mTarget) < CanaryShare()) {
+    if (age < kUseReportPeriod && MoveOrderOf(subject, aRollout.mOrder.mTarget) < canaryShare) {
       uses.push_back({ subject, known.mVersion == aRollout.mOrder.mTarget, age });
     }
   }
--- a/modules/skylarkchute_routing/fleet/RolloutTracker.h
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.h
@@ -176,7 +176,7 @@
   };
 
   double Progress(const Rollout& aRollout, TimePoint aNow) const;
-  double CanaryShare() const;
+  double CanaryShare(const Rollout& aRollout) const;
   bool MayExpose(const Rollout& aRollout, double aLimit) const;
   bool SelectsNewer(const Rollout& aRollout,
                     std::uint64_t aSubject,
--- a/tests/skylarkchute_routing/RolloutTrackerTests.cpp
+++ b/tests/skylarkchute_routing/RolloutTrackerTests.cpp
@@ -13,8 +13,8 @@
 
 constexpr seconds kPeriod{ 24 };
 
-/** Sends requests of 400 subjects, or of mOnlySubject if it is set, at a steady rate. Those on `v2`
- * fail as the caller specifies. */
+/** Sends requests of mSubjects subjects, or of mOnlySubject if it is set, at a steady rate. Those
+ * on `v2` fail as the caller specifies. */
 struct Traffic
 {
   int mOlder = 0;
@@ -28,8 +28,9 @@
   {
     for (int i = 0; i < aTime.count() * mPerSecond / 1000; ++i) {
       aFleet.mNow += milliseconds(1000 / mPerSecond);
-      auto plan = aFleet.Admit(
-        "/chat/1", mOnlySubject.empty() ? "s" + std::to_string(mSubject++ % 400) : mOnlySubject);
+      auto plan = aFleet.Admit("/chat/1",
+                               mOnlySubject.empty() ? "s" + std::to_string(mSubject++ % mSubjects)
+                                                    : mOnlySubject);
       const auto attempt = aFleet.Attempt(plan);
       const bool isNewer = attempt.mVersion == "v2";
       (isNewer ? mNewer : mOlder) += 1;
@@ -44,6 +45,7 @@
   }
 
   int mSubject = 0;
+  int mSubjects = 400; /**< Number of subjects. */
   std::string mOnlySubject;
   int mPerSecond = 40;
 };
@@ -452,3 +454,25 @@
   lastPart.Send(fleet, seconds(2), [](int) { return false; });
   CHECK(lastPart.mOlder == 0);
 }
+
+TEST_CASE("rollout: a version is judged before sessions may move, also where they last long")
+{
+  // Guards against a trial that begins late and then moves half of the subjects at once: new
+  // endpoints were slow under them, and a good version was stopped.
+  const auto session = GENERATE(milliseconds(5000), milliseconds(8500));
+  CAPTURE(session.count());
+  FleetFixture fleet;
+  fleet.mRouter.Rollouts().SetBounds({ 0.15, 30 }, session);
+  fleet.AddEndpoints("old", 9);
+  fleet.AddEndpoints("new", 9, "v2");
+  Traffic traffic;
+  traffic.mPerSecond = 40;
+  traffic.mSubjects = 2000;
+  traffic.Send(fleet, seconds(1), [](int) { return false; });
+  fleet.OrderRollout("v2", kPeriod);
+  traffic.Send(fleet, kPeriod / 2, [](int) { return false; });
+  CHECK(traffic.mNewer >= 20);
+  CHECK(traffic.mNewer <= 0.15 * (traffic.mNewer + traffic.mOlder));
+  traffic.Send(fleet, kPeriod * 9 / 20, [](int) { return false; });
+  CHECK(Step(fleet) == RolloutStep::Complete);
+}
