--- a/tests/skylarkchute_routing/RolloutTrackerTests.cpp
+++ b/tests/skylarkchute_routing/RolloutTrackerTests.cpp
@@ -466,7 +466,7 @@
   fleet.AddEndpoints("old", 9);
   fleet.AddEndpoints("new", 9, "v2");
   Traffic traffic;
-  traffic.mPerSecond = 40;
+  traffic.mPerSecond = 50;
   traffic.mSubjects = 2000;
   traffic.Send(fleet, seconds(1), [](int) { return false; });
   fleet.OrderRollout("v2", kPeriod);
