Rollout: half of the subjects try a version once all its endpoints are used

Cause: a version without 20 answers is tried by half of the subjects from kSessionMoveStart (0.51) on, but only from kRampStart (0.55) on at all of its endpoints. For a second one or two endpoints got 41 percent of the requests (test), were slow, and the version was judged bad.

Change: until kRampStart the subjects of the canary share try it, as in the trial before; subjects in use may move. Nothing changes for versions with 20 answers.

RolloutTrackerTests "no newer endpoint gets more than twice its part": 164 of 400 requests at one of nine endpoints before, 65 now; 88 allowed.

--- a/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
+++ b/modules/skylarkchute_routing/fleet/RolloutTracker.cpp
@@ -21,7 +21,7 @@
 constexpr double kCanaryShare = 0.08;
 constexpr double kSmallFleet = 12;
 
-/** Canary share from kSessionMoveStart on if the newer version has not returned kMinAnswers yet. It
+/** Canary share from kRampStart on if the newer version has not returned kMinAnswers yet. It
     grows to 1 between kRampStart and kFullShareStart, since the few subjects in use may all be late
     in the move order. The exposure limit still applies. */
 constexpr double kLowTrafficCanaryShare = 0.5;
@@ -69,7 +69,7 @@
 }
 
 /** Returns the share of subjects that try a version without sufficient evidence.
-    @param aProgress  elapsed part of the period, from kSessionMoveStart on */
+    @param aProgress  elapsed part of the period, from kRampStart on */
 double LowTrafficShare(double aProgress)
 {
   const double part =
@@ -246,7 +246,7 @@
     const double part = (progress - kRampStart) / (kFullShareStart - kRampStart);
     return moveOrder < canaryShare + (1 - canaryShare) * part;
   }
-  const bool hasLowTraffic = progress >= kSessionMoveStart && !hasEvidence;
+  const bool hasLowTraffic = progress >= kRampStart && !hasEvidence;
   if (moveOrder >= (hasLowTraffic ? LowTrafficShare(progress) : canaryShare) ||
       !MayExpose(aRollout, std::min(kMaxCanaryExposure, mBound.mShare))) {
     return false;
--- a/tests/skylarkchute_routing/RolloutTrackerTests.cpp
+++ b/tests/skylarkchute_routing/RolloutTrackerTests.cpp
@@ -34,6 +34,7 @@
       const auto attempt = aFleet.Attempt(plan);
       const bool isNewer = attempt.mVersion == "v2";
       (isNewer ? mNewer : mOlder) += 1;
+      ++mRequests[attempt.mEndpoint];
       aFleet.mRouter.OnSent(plan, attempt, aFleet.mNow);
       const bool fails = isNewer && aFails(mNewer);
       if (!fails) {
@@ -44,6 +45,7 @@
     }
   }
 
+  std::map<EndpointId, int> mRequests; /**< Number of requests by endpoint. */
   int mSubject = 0;
   int mSubjects = 400; /**< Number of subjects. */
   std::string mOnlySubject;
@@ -476,3 +478,27 @@
   traffic.Send(fleet, kPeriod * 9 / 20, [](int) { return false; });
   CHECK(Step(fleet) == RolloutStep::Complete);
 }
+
+TEST_CASE("rollout: no newer endpoint gets more than twice its part after a short trial")
+{
+  // Guards against half of the subjects at the few endpoints of the trial: these were slow, and a
+  // good version was stopped. The number of these endpoints is rounded down, to half at most.
+  constexpr int kEndpoints = 9;
+  Traffic trial;
+  trial.mPerSecond = 20;
+  Traffic afterTrial = trial;
+  for (int run = 0; run < 20; ++run) {
+    FleetFixture fleet;
+    fleet.mRouter.Rollouts().SetBounds({ 0.15, 30 }, milliseconds(8500));
+    fleet.AddEndpoints("old", kEndpoints);
+    fleet.AddEndpoints("new", kEndpoints, "v2");
+    fleet.OrderRollout("v2", kPeriod);
+    trial.Send(fleet, kPeriod / 2, [](int) { return false; });
+    afterTrial.Send(fleet, kPeriod / 24, [](int) { return false; });
+  }
+  const int sent = afterTrial.mNewer + afterTrial.mOlder;
+  for (const auto& [endpoint, n] : afterTrial.mRequests) {
+    CAPTURE(endpoint.Value(), n, sent);
+    CHECK((endpoint.Value().rfind("new", 0) != 0 || n * kEndpoints <= 2 * sent));
+  }
+}
