Soak: give each run a block of ports of its own

Cause: each run drew free ports from one range and used them later, and the probe set SO_REUSEPORT as Poco does by default, so that it found ports of other stand-ins free; two of them could even share a port.

--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -3,15 +3,12 @@
 #include "HttpConnection.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/ServerSocket.h>
 #include <json/json.h>
 
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <random>
-#include <set>
 #include <stdexcept>
 #include <thread>
 #include <unistd.h>
@@ -22,8 +19,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint32_t kFirstPort = 20000;
-constexpr std::uint32_t kPorts = 12000;
 constexpr milliseconds kCallTimeout{ 1000 };
 constexpr milliseconds kReadinessTimeout{ 100 };
 constexpr milliseconds kStartTimeout{ 20000 };
@@ -47,26 +42,6 @@
 /** Kinds whose calls the store refuses. */
 constexpr const char* kBusyKinds[] = { "rollouts", "servers", "config", "relays" };
 
-/** Returns a free port outside the range that the system gives to outgoing connections, where
-   another process could take it before it is used. */
-std::uint16_t FreePort()
-{
-  static std::mt19937 random(std::random_device{}());
-  static std::set<std::uint16_t> taken;
-  while (true) {
-    const auto port = static_cast<std::uint16_t>(kFirstPort + random() % kPorts);
-    if (!taken.insert(port).second) {
-      continue;
-    }
-    try {
-      const Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", port));
-      return port;
-    } catch (const Poco::Exception&) {
-      continue; // In use.
-    }
-  }
-}
-
 std::string Local(std::uint16_t aPort)
 {
   return "127.0.0.1:" + std::to_string(aPort);
@@ -228,7 +203,7 @@
   Configure(true);
   for (std::uint32_t n = 1; n <= aRelays; ++n) {
     mRelays.push_back(
-      { "relay-" + std::to_string(n), FreePort(), FreePort(), FreePort(), FreePort() });
+      { "relay-" + std::to_string(n), mPorts.Next(), mPorts.Next(), mPorts.Next(), mPorts.Next() });
   }
   mSeeds = Local(mRelays.front().mPeerPort);
   for (auto& it : mRelays) {
@@ -253,7 +228,7 @@
   const auto id = aEndpoint.mName + "-" + std::to_string(identity);
   const auto log =
     mWork + "/" + aEndpoint.mName + "-" + std::to_string(aEndpoint.mGeneration) + ".endpoint-log";
-  const auto port = keepsPort ? aEndpoint.mPort : FreePort();
+  const auto port = keepsPort ? aEndpoint.mPort : mPorts.Next();
   aEndpoint.mProcess = std::make_unique<ChildProcess>(
     std::vector<std::string>{ mBuild + "/standins/skylarkchute-standins",
                               "users-endpoint",
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -2,6 +2,7 @@
 
 #include "ChildProcess.h"
 #include "Evidence.h"
+#include "PortBlock.h"
 #include "Schedule.h"
 
 #include <atomic>
@@ -112,6 +113,7 @@
   std::string mBuild;
   std::string mProgram;
   std::string mWork;
+  PortBlock mPorts;
   std::unique_ptr<ChildProcess> mStore;
   std::uint16_t mStorePort = 0;
   std::vector<Endpoint> mEndpoints;
