Soak: lost and late writes of the relays, and endpoints that say they are ill

UsersStoreStandIn plays writes that are executed without an answer, or 1 to 6 s later (lose_writes); the endpoint stand-in a false answer at /healthz (ill). Both are in the schedules of the soak, and a test requires that fifty schedules play each kind of fault.

--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -141,7 +141,8 @@
 {
   return aKind == FaultKind::StoreSilent || aKind == FaultKind::StoreBusy ||
          aKind == FaultKind::StoreSlow || aKind == FaultKind::StoreForgetting ||
-         aKind == FaultKind::StoreRestored || aKind == FaultKind::StoreKindBusy;
+         aKind == FaultKind::StoreRestored || aKind == FaultKind::StoreKindBusy ||
+         aKind == FaultKind::StoreLosing;
 }
 
 /** Returns whether clients are owed an answer although the endpoint does this. */
@@ -178,6 +179,9 @@
     case FaultKind::EndpointDeparting:
       switches["leaving"] = aIsBegin;
       break;
+    case FaultKind::EndpointIll:
+      switches["ill"] = aIsBegin;
+      break;
     default:
       break;
   }
@@ -512,6 +516,9 @@
                 std::string(R"({"busy_kind":")") +
                   kBusyKinds[aFault.mTarget % std::size(kBusyKinds)] + R"("})");
       break;
+    case FaultKind::StoreLosing:
+      SetSwitch(mStorePort, R"({"lose_writes":true})");
+      break;
     default:
       CallOnce(mStorePort, "POST", "/standin/copy", "", kCallTimeout);
       break;
@@ -554,6 +561,10 @@
       SetSwitch(mStorePort, R"({"busy_kind":""})");
       Calm(Subject::Store, "store");
       break;
+    case FaultKind::StoreLosing:
+      SetSwitch(mStorePort, R"({"lose_writes":false})");
+      Calm(Subject::Store, "store");
+      break;
     case FaultKind::StoreCutting:
       --mOpenCuts;
       break;
@@ -580,6 +591,7 @@
     case FaultKind::EndpointSlow:
     case FaultKind::EndpointFailing:
     case FaultKind::EndpointBreaking:
+    case FaultKind::EndpointIll:
       SetEndpointSwitches(aFault, false);
       Calm(Subject::Endpoint, endpoint.mName);
       break;
--- a/soak/Schedule.cpp
+++ b/soak/Schedule.cpp
@@ -42,6 +42,7 @@
   FaultKind::StoreSlow,         FaultKind::StoreForgetting,  FaultKind::StoreRestored,
   FaultKind::Configured,        FaultKind::RelaysKilled,     FaultKind::EndpointUnregistering,
   FaultKind::StoreCutting,      FaultKind::StoreKindBusy,    FaultKind::TeamsRemoved,
+  FaultKind::StoreLosing,       FaultKind::EndpointIll,
 };
 
 const std::vector<FaultKind> kPlanned{
@@ -142,6 +143,7 @@
     { FaultKind::EndpointDeparting, "endpoint-departing" },
     { FaultKind::EndpointLimited, "endpoint-limited" },
     { FaultKind::EndpointPausing, "endpoint-pausing" },
+    { FaultKind::EndpointIll, "endpoint-ill" },
     { FaultKind::PartCrashing, "part-crashing" },
     { FaultKind::StoreSilent, "store-silent" },
     { FaultKind::StoreBusy, "store-busy" },
@@ -149,6 +151,7 @@
     { FaultKind::StoreForgetting, "store-forgetting" },
     { FaultKind::StoreCutting, "store-cutting" },
     { FaultKind::StoreKindBusy, "store-kind-busy" },
+    { FaultKind::StoreLosing, "store-losing" },
     { FaultKind::StoreRestored, "store-restored" },
     { FaultKind::RolledOut, "rolled-out" },
     { FaultKind::Configured, "configured" },
--- a/soak/Schedule.h
+++ b/soak/Schedule.h
@@ -25,6 +25,7 @@
   EndpointDeparting,     /**< States in its answers that it leaves. */
   EndpointLimited,       /**< Names a limit. */
   EndpointPausing,       /**< Refuses and names a pause. */
+  EndpointIll,           /**< Answers that it is not healthy, but serves as before. */
   PartCrashing,          /**< A prompt part ends each endpoint that runs it. */
   StoreSilent,
   StoreBusy,
@@ -32,6 +33,7 @@
   StoreForgetting, /**< Loses its history. */
   StoreCutting,    /**< Cuts off the watches that wait, again and again. */
   StoreKindBusy,   /**< Refuses the calls on one kind of objects. */
+  StoreLosing,     /**< Executes writes of the relays without an answer, some of them late. */
   StoreRestored,   /**< Copied at the start of the fault, restored at its end. */
   RolledOut,       /**< A new version; a bad one if the target is odd. */
   Configured,      /**< The operator writes a new configuration. */
--- a/standins/users_platform/UsersEndpointStandIn.cpp
+++ b/standins/users_platform/UsersEndpointStandIn.cpp
@@ -58,6 +58,7 @@
   mSwitches["break_after"] = 0;
   mSwitches["silent_ms"] = 0;
   mSwitches["leaving"] = false;
+  mSwitches["ill"] = false;
   mSwitches["unregister"] = false;
   mSwitches["limit"] = 0;
   mSwitches["pause_s"] = 0;
@@ -157,7 +158,8 @@
   if (path == "/healthz") {
     aResponse.set("Skylarkchute-Instance-Id", mOptions.mId);
     aResponse.set("Skylarkchute-Cold-Ms", std::to_string(ColdRemaining().count()));
-    Respond(aResponse, mIsDraining ? kUnavailable : kOk, Json::Value(Json::objectValue));
+    const bool isWell = !mIsDraining && !SwitchValue("ill").asBool();
+    Respond(aResponse, isWell ? kOk : kUnavailable, Json::Value(Json::objectValue));
     return;
   }
   if (RefuseIfNotRunnable(aRequest, aResponse)) {
--- a/standins/users_platform/UsersStoreStandIn.cpp
+++ b/standins/users_platform/UsersStoreStandIn.cpp
@@ -18,6 +18,8 @@
 
 constexpr const char* kObjectsPrefix = "/skylarkchute/objects/";
 constexpr const char* kEndpointKind = "servers";
+constexpr const char* kRelayKind = "relays";
+constexpr const char* kStatusSuffix = "/status";
 constexpr const char* kEraHeader = "Store-Era";
 
 /** An endpoint is removed after it misses three heartbeats, which are sent every 500 ms. */
@@ -26,6 +28,10 @@
 /** How long a call is held that is never answered; callers give up before. */
 constexpr milliseconds kSilentHold{ 40000 };
 
+/** While writes are lost, one of so many gets no answer; every second of these is late. */
+constexpr std::uint64_t kLostOneIn = 3;
+constexpr std::uint64_t kMaxLateSeconds = 6;
+
 /** Longest wait of a watch. */
 constexpr std::uint64_t kMaxWatchWaitMs = 30000;
 
@@ -56,6 +62,7 @@
   mSwitches["busy_kind"] = "";
   mSwitches["silent"] = false;
   mSwitches["lose_watches"] = false;
+  mSwitches["lose_writes"] = false;
   mSwitches["page_items"] = 0;
   mSwitches["slow_ms"] = 0;
 }
@@ -90,6 +97,10 @@
   }
   std::this_thread::sleep_for(milliseconds(slowMs));
   RemoveExpiredEndpoints();
+  if (const auto delay = DelayIfLost(aRequest)) {
+    ExecuteUnanswered(aRequest, *delay);
+    return;
+  }
   const auto outcome = DispatchRequest(aRequest);
   if (WithholdIfLost(aRequest, outcome) || WithholdIfSilent(silences)) {
     return;
@@ -110,6 +121,37 @@
          Poco::URI(aRequest.getURI()).getPath().starts_with(std::string(kObjectsPrefix) + kind);
 }
 
+/** Returns how much later a call is executed that gets no answer, nothing if it gets one. Only
+   writes of the relays are lost. */
+std::optional<milliseconds> UsersStoreStandIn::DelayIfLost(const Request& aRequest)
+{
+  const auto path = Poco::URI(aRequest.getURI()).getPath();
+  const bool isOfRelay =
+    path.starts_with(std::string(kObjectsPrefix) + kRelayKind) || path.ends_with(kStatusSuffix);
+  const std::lock_guard lock(mMutex);
+  if (!mSwitches["lose_writes"].asBool() || aRequest.getMethod() == "GET" || !isOfRelay ||
+      ++mLosableWrites % kLostOneIn != 0) {
+    return std::nullopt;
+  }
+  const auto lost = mLosableWrites / kLostOneIn;
+  const auto seconds = lost % 2 == 0 ? 1 + lost / 2 % kMaxLateSeconds : 0;
+  return std::chrono::seconds(seconds);
+}
+
+/** Executes a call after a delay, without an answer. */
+void UsersStoreStandIn::ExecuteUnanswered(Request& aRequest, milliseconds aDelay)
+{
+  const auto isStopping = [this] { return mIsStopping; };
+  std::unique_lock lock(mMutex);
+  if (mStopped.wait_for(lock, aDelay, isStopping)) {
+    return;
+  }
+  lock.unlock();
+  DispatchRequest(aRequest);
+  lock.lock();
+  mStopped.wait_for(lock, kSilentHold, isStopping);
+}
+
 /** Holds a call that arrived in a silence, or waited when one began.
     @returns whether the call must not be answered */
 bool UsersStoreStandIn::WithholdIfSilent(std::uint64_t aSilencesAtArrival)
--- a/standins/users_platform/UsersStoreStandIn.h
+++ b/standins/users_platform/UsersStoreStandIn.h
@@ -4,6 +4,8 @@
 #include "UsersStore.h"
 
 #include <atomic>
+#include <chrono>
+#include <optional>
 #include <set>
 
 namespace skylarkchute::standins {
@@ -34,6 +36,8 @@
   void Handle(Request& aRequest, Response& aResponse);
   void HandleControl(Request& aRequest, Response& aResponse);
   bool IsKindBusy(const Request& aRequest) const;
+  std::optional<std::chrono::milliseconds> DelayIfLost(const Request& aRequest);
+  void ExecuteUnanswered(Request& aRequest, std::chrono::milliseconds aDelay);
   bool WithholdIfLost(const Request& aRequest, const UsersStore::Outcome& aOutcome);
   bool WithholdIfSilent(std::uint64_t aSilencesAtArrival);
   UsersStore::Outcome DispatchRequest(Request& aRequest);
@@ -49,7 +53,8 @@
   Json::Value mSwitches;
   std::map<std::string, std::chrono::steady_clock::time_point> mLastRenewal; /**< By endpoint. */
   std::uint64_t mCalls = 0;
-  std::uint64_t mSilences = 0; /**< How often the store went silent. */
+  std::uint64_t mLosableWrites = 0; /**< Of the relays, while writes are lost. */
+  std::uint64_t mSilences = 0;      /**< How often the store went silent. */
   bool mIsStopping = false;
   std::condition_variable mStopped;
   StandInServer mServer;
--- a/tests/skylarkchute_soak/ScheduleTests.cpp
+++ b/tests/skylarkchute_soak/ScheduleTests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <set>
 #include <sstream>
 
 using namespace skylarkchute::soak;
@@ -60,3 +61,17 @@
   }
   CHECK(kills > 10);
 }
+
+TEST_CASE("Fifty schedules play each kind of fault")
+{
+  std::set<FaultKind> kinds;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    for (const auto& it : MakeSchedule(seed, seconds(120), 3)) {
+      kinds.insert(it.mKind);
+    }
+  }
+  for (int n = 0; n <= static_cast<int>(FaultKind::TeamsRemoved); ++n) {
+    CAPTURE(FaultName(static_cast<FaultKind>(n)));
+    CHECK(kinds.count(static_cast<FaultKind>(n)) == 1);
+  }
+}
