Soak: the store rejects the calls of one relay

Each relay reaches the store on a port of its own; users-store serves on further ports (--also-port) and rejects the calls of one with 503, 429, a reset or silence (cut_port, cut_how), while the others and the operator are served. Writes that were done are not rejected.

--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -42,6 +42,9 @@
 /** Kinds whose calls the store refuses. */
 constexpr const char* kBusyKinds[] = { "rollouts", "servers", "config", "relays" };
 
+/** Ways in which the store rejects the calls of one relay. */
+constexpr const char* kCutOffs[] = { "busy", "many", "reset", "silent" };
+
 std::string Local(std::uint16_t aPort)
 {
   return "127.0.0.1:" + std::to_string(aPort);
@@ -142,7 +145,7 @@
   return aKind == FaultKind::StoreSilent || aKind == FaultKind::StoreBusy ||
          aKind == FaultKind::StoreSlow || aKind == FaultKind::StoreForgetting ||
          aKind == FaultKind::StoreRestored || aKind == FaultKind::StoreKindBusy ||
-         aKind == FaultKind::StoreLosing;
+         aKind == FaultKind::StoreLosing || aKind == FaultKind::StoreCutOff;
 }
 
 /** Returns whether clients are owed an answer although the endpoint does this. */
@@ -195,6 +198,18 @@
   , mProgram(std::move(aProgram))
   , mWork(std::move(aWork))
 {
+  for (std::uint32_t n = 1; n <= aRelays; ++n) {
+    Relay relay;
+    relay.mName = "relay-" + std::to_string(n);
+    for (auto* port : { &relay.mCallerPort,
+                        &relay.mReadyPort,
+                        &relay.mPeerPort,
+                        &relay.mForwardPort,
+                        &relay.mStorePort }) {
+      *port = mPorts.Next();
+    }
+    mRelays.push_back(std::move(relay));
+  }
   StartStore();
   for (const auto* service : { "note-llm", "orders" }) {
     for (int n = 1; n <= 3; ++n) {
@@ -205,10 +220,6 @@
     StartEndpoint(it);
   }
   Configure(true);
-  for (std::uint32_t n = 1; n <= aRelays; ++n) {
-    mRelays.push_back(
-      { "relay-" + std::to_string(n), mPorts.Next(), mPorts.Next(), mPorts.Next(), mPorts.Next() });
-  }
   mSeeds = Local(mRelays.front().mPeerPort);
   for (auto& it : mRelays) {
     StartRelay(it);
@@ -219,8 +230,11 @@
 void Fleet::StartStore()
 {
   const auto log = mWork + "/store.log";
-  mStore = std::make_unique<ChildProcess>(
-    std::vector<std::string>{ mBuild + "/standins/skylarkchute-standins", "users-store" }, log);
+  std::vector<std::string> command{ mBuild + "/standins/skylarkchute-standins", "users-store" };
+  for (const auto& it : mRelays) {
+    command.insert(command.end(), { "--also-port", std::to_string(it.mStorePort) });
+  }
+  mStore = std::make_unique<ChildProcess>(command, log);
   mStorePort = AwaitPort(*mStore, log);
 }
 
@@ -274,7 +288,7 @@
       << "\nzone = zone-a\n[listen]\ncallers = " << Local(aRelay.mCallerPort)
       << "\nready = " << Local(aRelay.mReadyPort) << "\npeers = " << Local(aRelay.mPeerPort)
       << "\nforwarded = " << Local(aRelay.mForwardPort)
-      << "\n[platform]\nstore = " << Local(mStorePort) << "\nseeds = " << mSeeds
+      << "\n[platform]\nstore = " << Local(aRelay.mStorePort) << "\nseeds = " << mSeeds
       << "\n[retries]\nratio = 0.9\nslack = 58\nwindow = 10s\n[rollouts]\nexposed_share = 0.15\n"
          "exposed_slack = 30\n[shutdown]\ngrace = "
       << aRelay.mGrace << "\n[log]\nlevel = info\n";
@@ -519,12 +533,25 @@
     case FaultKind::StoreLosing:
       SetSwitch(mStorePort, R"({"lose_writes":true})");
       break;
+    case FaultKind::StoreCutOff:
+      SetSwitch(mStorePort, CutOffSwitches(aFault));
+      break;
     default:
       CallOnce(mStorePort, "POST", "/standin/copy", "", kCallTimeout);
       break;
   }
 }
 
+/** Returns the switches of the store stand-in with which it rejects the calls of one relay. */
+std::string Fleet::CutOffSwitches(const Fault& aFault) const
+{
+  const auto turn = aFault.mTarget / mRelays.size();
+  Json::Value switches(Json::objectValue);
+  switches["cut_port"] = mRelays[aFault.mTarget % mRelays.size()].mStorePort;
+  switches["cut_how"] = kCutOffs[turn % std::size(kCutOffs)];
+  return ToText(switches);
+}
+
 void Fleet::BeginCrashes()
 {
   const auto part = "c0ffee" + std::to_string(++mCrashes);
@@ -565,6 +592,10 @@
       SetSwitch(mStorePort, R"({"lose_writes":false})");
       Calm(Subject::Store, "store");
       break;
+    case FaultKind::StoreCutOff:
+      SetSwitch(mStorePort, R"({"cut_port":0})");
+      Calm(Subject::Store, "store");
+      break;
     case FaultKind::StoreCutting:
       --mOpenCuts;
       break;
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -63,6 +63,7 @@
     std::uint16_t mReadyPort = 0;
     std::uint16_t mPeerPort = 0;
     std::uint16_t mForwardPort = 0;
+    std::uint16_t mStorePort = 0; /**< On which it reaches the store. */
     std::unique_ptr<ChildProcess> mProcess = nullptr;
     std::size_t mLife = 0; /**< Index into mLives. */
     std::optional<TimePoint> mRestartAt = std::nullopt;
@@ -96,6 +97,7 @@
   bool BeginRelayFault(const Fault& aFault);
   bool BeginEndpointFault(const Fault& aFault);
   void SetEndpointSwitches(const Fault& aFault, bool aIsBegin);
+  std::string CutOffSwitches(const Fault& aFault) const;
   void BeginStoreFault(const Fault& aFault);
   void BeginCrashes();
   bool BeginRollout(const Fault& aFault);
--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -165,7 +165,11 @@
 {
   UsersStoreStandIn::Options store;
   options::variables_map values;
-  if (!ParseArguments(aArguments, CommonOptions("users-store", store.mPort), values)) {
+  auto description = CommonOptions("users-store", store.mPort);
+  description.add_options()("also-port",
+                            options::value(&store.mMorePorts)->composing(),
+                            "further port to serve on; one for each");
+  if (!ParseArguments(aArguments, description, values)) {
     return 0;
   }
   const UsersStoreStandIn standIn(store);
--- a/standins/users_platform/UsersStoreStandIn.cpp
+++ b/standins/users_platform/UsersStoreStandIn.cpp
@@ -14,6 +14,7 @@
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
+constexpr int kTooMany = 429;
 constexpr int kUnavailable = 503;
 
 constexpr const char* kObjectsPrefix = "/skylarkchute/objects/";
@@ -60,11 +61,17 @@
 {
   mSwitches["busy"] = false;
   mSwitches["busy_kind"] = "";
+  mSwitches["cut_port"] = 0;
+  mSwitches["cut_how"] = "";
   mSwitches["silent"] = false;
   mSwitches["lose_watches"] = false;
   mSwitches["lose_writes"] = false;
   mSwitches["page_items"] = 0;
   mSwitches["slow_ms"] = 0;
+  for (const auto port : aOptions.mMorePorts) {
+    mMoreServers.push_back(std::make_unique<StandInServer>(
+      port, [this](Request& aRequest, Response& aResponse) { Handle(aRequest, aResponse); }));
+  }
 }
 
 UsersStoreStandIn::~UsersStoreStandIn()
@@ -95,6 +102,9 @@
       return;
     }
   }
+  if (RejectIfCut(aRequest, aResponse)) {
+    return;
+  }
   std::this_thread::sleep_for(milliseconds(slowMs));
   RemoveExpiredEndpoints();
   if (const auto delay = DelayIfLost(aRequest)) {
@@ -105,6 +115,10 @@
   if (WithholdIfLost(aRequest, outcome) || WithholdIfSilent(silences)) {
     return;
   }
+  // A write that was done is not rejected: 503 says that nothing was done.
+  if (aRequest.getMethod() == "GET" && RejectIfCut(aRequest, aResponse)) {
+    return;
+  }
   if (outcome.mStatus == 0) {
     AbortConnection(aRequest);
     return;
@@ -121,6 +135,31 @@
          Poco::URI(aRequest.getURI()).getPath().starts_with(std::string(kObjectsPrefix) + kind);
 }
 
+/** Returns whether a call came in by the port whose callers are rejected. */
+bool UsersStoreStandIn::IsCut(const Request& aRequest) const
+{
+  return mSwitches["cut_port"].asUInt() == aRequest.serverAddress().port();
+}
+
+/** Rejects a call that came in by the port that is cut off, in the way that is set.
+    @returns whether the call is over */
+bool UsersStoreStandIn::RejectIfCut(Request& aRequest, Response& aResponse)
+{
+  std::unique_lock lock(mMutex);
+  if (!IsCut(aRequest)) {
+    return false;
+  }
+  const auto how = mSwitches["cut_how"].asString();
+  if (how == "silent") {
+    mStopped.wait_for(lock, kSilentHold, [this] { return mIsStopping; });
+  } else if (how == "reset") {
+    AbortConnection(aRequest);
+  } else {
+    Respond(aResponse, how == "many" ? kTooMany : kUnavailable, Json::Value(Json::objectValue));
+  }
+  return true;
+}
+
 /** Returns how much later a call is executed that gets no answer, nothing if it gets one. Only
    writes of the relays are lost. */
 std::optional<milliseconds> UsersStoreStandIn::DelayIfLost(const Request& aRequest)
--- a/standins/users_platform/UsersStoreStandIn.h
+++ b/standins/users_platform/UsersStoreStandIn.h
@@ -5,8 +5,10 @@
 
 #include <atomic>
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace skylarkchute::standins {
 
@@ -19,6 +21,7 @@
   struct Options
   {
     std::uint16_t mPort = 0;
+    std::vector<std::uint16_t> mMorePorts; /**< On which it serves as well. */
   };
 
   explicit UsersStoreStandIn(Options aOptions);
@@ -36,6 +39,8 @@
   void Handle(Request& aRequest, Response& aResponse);
   void HandleControl(Request& aRequest, Response& aResponse);
   bool IsKindBusy(const Request& aRequest) const;
+  bool RejectIfCut(Request& aRequest, Response& aResponse);
+  bool IsCut(const Request& aRequest) const;
   std::optional<std::chrono::milliseconds> DelayIfLost(const Request& aRequest);
   void ExecuteUnanswered(Request& aRequest, std::chrono::milliseconds aDelay);
   bool WithholdIfLost(const Request& aRequest, const UsersStore::Outcome& aOutcome);
@@ -58,6 +63,7 @@
   bool mIsStopping = false;
   std::condition_variable mStopped;
   StandInServer mServer;
+  std::vector<std::unique_ptr<StandInServer>> mMoreServers;
 };
 
 } // namespace skylarkchute::standins
