Soak: rates of the store, connections that close early, large configurations

The store's stand-in answers 429 beyond a rate of all relays together (calls_per_s), every second generation of endpoints closes connections that were idle for 200 ms (--idle-ms), and every fourth configuration has 400 routes more.

--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -34,6 +34,10 @@
 constexpr milliseconds kRolloutOverrun{ 1000 };
 constexpr int kGenerations = 1000; // Of an endpoint, at most, before its next version.
 constexpr const char* kDrainMs = "4000";
+constexpr const char* kIdleMs = "15000";
+constexpr const char* kShortIdleMs = "200";
+constexpr int kLargeEvery = 4; // Every fourth configuration has kMoreRoutes.
+constexpr int kMoreRoutes = 400;
 constexpr milliseconds kCutInterval{ 100 };
 
 /** Forms in which the platform may state the grace period; the last one is none. */
@@ -79,6 +83,9 @@
   spec["Routes"].append(Route("orders", "orders", "non_idempotent"));
   spec["Routes"].append(Route("boxes", "orders", "idempotent"));
   spec["Routes"].append(Route("v" + std::to_string(aVersion), "orders", "idempotent"));
+  for (int n = 0; aVersion % kLargeEvery == 0 && n < kMoreRoutes; ++n) {
+    spec["Routes"].append(Route("unused" + std::to_string(n), "orders", "idempotent"));
+  }
   for (const auto* it : { "note-llm", "orders" }) {
     Json::Value service(Json::objectValue);
     service["Name"] = it;
@@ -145,7 +152,8 @@
   return aKind == FaultKind::StoreSilent || aKind == FaultKind::StoreBusy ||
          aKind == FaultKind::StoreSlow || aKind == FaultKind::StoreForgetting ||
          aKind == FaultKind::StoreRestored || aKind == FaultKind::StoreKindBusy ||
-         aKind == FaultKind::StoreLosing || aKind == FaultKind::StoreCutOff;
+         aKind == FaultKind::StoreLosing || aKind == FaultKind::StoreCutOff ||
+         aKind == FaultKind::StoreRationing;
 }
 
 /** Returns whether clients are owed an answer although the endpoint does this. */
@@ -266,6 +274,8 @@
                               "30",
                               "--drain-ms",
                               kDrainMs,
+                              "--idle-ms",
+                              identity % 2 == 1 ? kShortIdleMs : kIdleMs,
                               "--record-file",
                               mWork + "/" + aEndpoint.mName + ".runs" },
     log);
@@ -536,6 +546,9 @@
     case FaultKind::StoreCutOff:
       SetSwitch(mStorePort, CutOffSwitches(aFault));
       break;
+    case FaultKind::StoreRationing:
+      SetSwitch(mStorePort, R"({"calls_per_s":3})");
+      break;
     default:
       CallOnce(mStorePort, "POST", "/standin/copy", "", kCallTimeout);
       break;
@@ -592,6 +605,10 @@
       SetSwitch(mStorePort, R"({"lose_writes":false})");
       Calm(Subject::Store, "store");
       break;
+    case FaultKind::StoreRationing:
+      SetSwitch(mStorePort, R"({"calls_per_s":0})");
+      Calm(Subject::Store, "store");
+      break;
     case FaultKind::StoreCutOff:
       SetSwitch(mStorePort, R"({"cut_port":0})");
       Calm(Subject::Store, "store");
--- a/soak/Schedule.cpp
+++ b/soak/Schedule.cpp
@@ -43,6 +43,7 @@
   FaultKind::Configured,        FaultKind::RelaysKilled,     FaultKind::EndpointUnregistering,
   FaultKind::StoreCutting,      FaultKind::StoreKindBusy,    FaultKind::TeamsRemoved,
   FaultKind::StoreLosing,       FaultKind::EndpointIll,      FaultKind::StoreCutOff,
+  FaultKind::StoreRationing,
 };
 
 const std::vector<FaultKind> kPlanned{
@@ -153,6 +154,7 @@
     { FaultKind::StoreKindBusy, "store-kind-busy" },
     { FaultKind::StoreLosing, "store-losing" },
     { FaultKind::StoreCutOff, "store-cut-off" },
+    { FaultKind::StoreRationing, "store-rationing" },
     { FaultKind::StoreRestored, "store-restored" },
     { FaultKind::RolledOut, "rolled-out" },
     { FaultKind::Configured, "configured" },
--- a/standins/Main.cpp
+++ b/standins/Main.cpp
@@ -182,6 +182,7 @@
   auto eventMs = endpoint.mEventTime.count();
   auto drainMs = endpoint.mDrainTime.count();
   auto warmupMs = endpoint.mWarmup.count();
+  auto idleMs = endpoint.mIdleTimeout.count();
   auto description = CommonOptions("users-endpoint", endpoint.mPort);
   auto add = description.add_options();
   add("store", options::value(&endpoint.mStorePort)->required(), "TCP port of the store");
@@ -204,6 +205,9 @@
   add("warmup-ms",
       options::value(&warmupMs)->default_value(warmupMs),
       "milliseconds for which it is cold after its start");
+  add("idle-ms",
+      options::value(&idleMs)->default_value(idleMs),
+      "milliseconds after which it closes idle connections");
   add("cold-per-s",
       options::value(&endpoint.mColdRate)->default_value(endpoint.mColdRate),
       "requests per second that it takes while cold; 0 for no limit");
@@ -217,6 +221,7 @@
   endpoint.mEventTime = std::chrono::milliseconds(eventMs);
   endpoint.mDrainTime = std::chrono::milliseconds(drainMs);
   endpoint.mWarmup = std::chrono::milliseconds(warmupMs);
+  endpoint.mIdleTimeout = std::chrono::milliseconds(idleMs);
   const UsersEndpointStandIn standIn(endpoint);
   return WaitForSignal(standIn.Port());
 }
--- a/standins/http/StandInServer.cpp
+++ b/standins/http/StandInServer.cpp
@@ -56,12 +56,15 @@
 
 } // namespace
 
-StandInServer::StandInServer(std::uint16_t aPort, Handler aHandler)
+StandInServer::StandInServer(std::uint16_t aPort,
+                             Handler aHandler,
+                             std::chrono::milliseconds aIdleTimeout)
   : mPool("stand-in", kMinThreads, kMaxThreads)
 {
   Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
   params->setMaxThreads(kMaxThreads);
   params->setMaxQueued(kMaxQueued);
+  params->setKeepAliveTimeout(Poco::Timespan(std::chrono::microseconds(aIdleTimeout).count()));
   const Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", aPort));
   mServer = std::make_unique<Poco::Net::HTTPServer>(
     Poco::Net::HTTPRequestHandlerFactory::Ptr(new FunctionHandlerFactory(std::move(aHandler))),
--- a/standins/http/StandInServer.h
+++ b/standins/http/StandInServer.h
@@ -6,6 +6,7 @@
 #include <Poco/ThreadPool.h>
 #include <json/json.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,14 +18,19 @@
 class StandInServer
 {
 public:
+  static constexpr std::chrono::milliseconds kIdleTimeout{ 15000 };
+
   using Handler =
     std::function<void(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&)>;
 
   /** Starts to serve.
       @param aPort     TCP port; zero selects a free port
       @param aHandler  handles each request; called on several threads at once. The server catches
-                       the exceptions that it throws. */
-  StandInServer(std::uint16_t aPort, Handler aHandler);
+                       the exceptions that it throws.
+      @param aIdleTimeout  after which idle connections are closed */
+  StandInServer(std::uint16_t aPort,
+                Handler aHandler,
+                std::chrono::milliseconds aIdleTimeout = kIdleTimeout);
 
   /** Stops accepting connections, aborts the open ones and waits for running requests. */
   ~StandInServer();
--- a/standins/users_platform/UsersEndpointStandIn.cpp
+++ b/standins/users_platform/UsersEndpointStandIn.cpp
@@ -48,8 +48,10 @@
   , mStartTimeMs(
       std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
         .count())
-  , mServer(mOptions.mPort,
-            [this](Request& aRequest, Response& aResponse) { Handle(aRequest, aResponse); })
+  , mServer(
+      mOptions.mPort,
+      [this](Request& aRequest, Response& aResponse) { Handle(aRequest, aResponse); },
+      mOptions.mIdleTimeout)
 {
   mSwitches["slow_ms"] = 0;
   mSwitches["error_status"] = 0;
--- a/standins/users_platform/UsersEndpointStandIn.h
+++ b/standins/users_platform/UsersEndpointStandIn.h
@@ -34,6 +34,7 @@
     std::chrono::milliseconds mEventTime{ 10 };   /**< Interval between events. */
     std::chrono::milliseconds mDrainTime{ 1500 }; /**< Time to serve in state `draining`. */
     std::chrono::milliseconds mWarmup{ 0 };       /**< It is cold for this long after its start. */
+    std::chrono::milliseconds mIdleTimeout = StandInServer::kIdleTimeout; /**< Of connections. */
     double mColdRate = 0; /**< Requests per second that it takes while cold; zero for no limit. */
     std::string mRecordFile; /**< Receives one JSON line per run; empty writes none. */
   };
--- a/standins/users_platform/UsersStoreStandIn.cpp
+++ b/standins/users_platform/UsersStoreStandIn.cpp
@@ -61,6 +61,7 @@
 {
   mSwitches["busy"] = false;
   mSwitches["busy_kind"] = "";
+  mSwitches["calls_per_s"] = 0;
   mSwitches["cut_port"] = 0;
   mSwitches["cut_how"] = "";
   mSwitches["silent"] = false;
@@ -101,6 +102,10 @@
       Respond(aResponse, kUnavailable, Json::Value(Json::objectValue));
       return;
     }
+    if (IsBeyondRate(aRequest)) {
+      Respond(aResponse, kTooMany, Json::Value(Json::objectValue));
+      return;
+    }
   }
   if (RejectIfCut(aRequest, aResponse)) {
     return;
@@ -135,6 +140,21 @@
          Poco::URI(aRequest.getURI()).getPath().starts_with(std::string(kObjectsPrefix) + kind);
 }
 
+/** Counts a call on one of the further ports. @returns whether it is beyond their common rate */
+bool UsersStoreStandIn::IsBeyondRate(const Request& aRequest)
+{
+  const auto rate = mSwitches["calls_per_s"].asUInt();
+  if (rate == 0 || aRequest.serverAddress().port() == Port()) {
+    return false;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  if (now >= mRateStart + std::chrono::seconds(1)) {
+    mRateStart = now;
+    mRatedCalls = 0;
+  }
+  return ++mRatedCalls > rate;
+}
+
 /** Returns whether a call came in by the port whose callers are rejected. */
 bool UsersStoreStandIn::IsCut(const Request& aRequest) const
 {
--- a/standins/users_platform/UsersStoreStandIn.h
+++ b/standins/users_platform/UsersStoreStandIn.h
@@ -41,6 +41,7 @@
   bool IsKindBusy(const Request& aRequest) const;
   bool RejectIfCut(Request& aRequest, Response& aResponse);
   bool IsCut(const Request& aRequest) const;
+  bool IsBeyondRate(const Request& aRequest);
   std::optional<std::chrono::milliseconds> DelayIfLost(const Request& aRequest);
   void ExecuteUnanswered(Request& aRequest, std::chrono::milliseconds aDelay);
   bool WithholdIfLost(const Request& aRequest, const UsersStore::Outcome& aOutcome);
@@ -58,6 +59,8 @@
   Json::Value mSwitches;
   std::map<std::string, std::chrono::steady_clock::time_point> mLastRenewal; /**< By endpoint. */
   std::uint64_t mCalls = 0;
+  std::chrono::steady_clock::time_point mRateStart; /**< Of the second in which calls count. */
+  std::uint32_t mRatedCalls = 0;
   std::uint64_t mLosableWrites = 0; /**< Of the relays, while writes are lost. */
   std::uint64_t mSilences = 0;      /**< How often the store went silent. */
   bool mIsStopping = false;
