--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -47,7 +47,7 @@
 constexpr const char* kBusyKinds[] = { "rollouts", "servers", "config", "relays" };
 
 /** Ways in which the store rejects the calls of one relay. */
-constexpr const char* kCutOffs[] = { "busy", "many", "reset", "silent" };
+constexpr const char* kRejections[] = { "busy", "many", "reset", "silent" };
 
 std::string Local(std::uint16_t aPort)
 {
@@ -152,7 +152,7 @@
   return aKind == FaultKind::StoreSilent || aKind == FaultKind::StoreBusy ||
          aKind == FaultKind::StoreSlow || aKind == FaultKind::StoreForgetting ||
          aKind == FaultKind::StoreRestored || aKind == FaultKind::StoreKindBusy ||
-         aKind == FaultKind::StoreLosing || aKind == FaultKind::StoreCutOff ||
+         aKind == FaultKind::StoreLosing || aKind == FaultKind::StoreRejecting ||
          aKind == FaultKind::StoreRationing;
 }
 
@@ -543,8 +543,8 @@
     case FaultKind::StoreLosing:
       SetSwitch(mStorePort, R"({"lose_writes":true})");
       break;
-    case FaultKind::StoreCutOff:
-      SetSwitch(mStorePort, CutOffSwitches(aFault));
+    case FaultKind::StoreRejecting:
+      SetSwitch(mStorePort, RejectionSwitches(aFault));
       break;
     case FaultKind::StoreRationing:
       SetSwitch(mStorePort, R"({"calls_per_s":3})");
@@ -556,12 +556,12 @@
 }
 
 /** Returns the switches of the store stand-in with which it rejects the calls of one relay. */
-std::string Fleet::CutOffSwitches(const Fault& aFault) const
+std::string Fleet::RejectionSwitches(const Fault& aFault) const
 {
   const auto turn = aFault.mTarget / mRelays.size();
   Json::Value switches(Json::objectValue);
-  switches["cut_port"] = mRelays[aFault.mTarget % mRelays.size()].mStorePort;
-  switches["cut_how"] = kCutOffs[turn % std::size(kCutOffs)];
+  switches["reject_port"] = mRelays[aFault.mTarget % mRelays.size()].mStorePort;
+  switches["reject_how"] = kRejections[turn % std::size(kRejections)];
   return ToText(switches);
 }
 
@@ -609,8 +609,8 @@
       SetSwitch(mStorePort, R"({"calls_per_s":0})");
       Calm(Subject::Store, "store");
       break;
-    case FaultKind::StoreCutOff:
-      SetSwitch(mStorePort, R"({"cut_port":0})");
+    case FaultKind::StoreRejecting:
+      SetSwitch(mStorePort, R"({"reject_port":0})");
       Calm(Subject::Store, "store");
       break;
     case FaultKind::StoreCutting:
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -97,7 +97,7 @@
   bool BeginRelayFault(const Fault& aFault);
   bool BeginEndpointFault(const Fault& aFault);
   void SetEndpointSwitches(const Fault& aFault, bool aIsBegin);
-  std::string CutOffSwitches(const Fault& aFault) const;
+  std::string RejectionSwitches(const Fault& aFault) const;
   void BeginStoreFault(const Fault& aFault);
   void BeginCrashes();
   bool BeginRollout(const Fault& aFault);
--- a/soak/Schedule.cpp
+++ b/soak/Schedule.cpp
@@ -42,7 +42,7 @@
   FaultKind::StoreSlow,         FaultKind::StoreForgetting,  FaultKind::StoreRestored,
   FaultKind::Configured,        FaultKind::RelaysKilled,     FaultKind::EndpointUnregistering,
   FaultKind::StoreCutting,      FaultKind::StoreKindBusy,    FaultKind::TeamsRemoved,
-  FaultKind::StoreLosing,       FaultKind::EndpointIll,      FaultKind::StoreCutOff,
+  FaultKind::StoreLosing,       FaultKind::EndpointIll,      FaultKind::StoreRejecting,
   FaultKind::StoreRationing,
 };
 
@@ -153,7 +153,7 @@
     { FaultKind::StoreCutting, "store-cutting" },
     { FaultKind::StoreKindBusy, "store-kind-busy" },
     { FaultKind::StoreLosing, "store-losing" },
-    { FaultKind::StoreCutOff, "store-cut-off" },
+    { FaultKind::StoreRejecting, "store-rejecting" },
     { FaultKind::StoreRationing, "store-rationing" },
     { FaultKind::StoreRestored, "store-restored" },
     { FaultKind::RolledOut, "rolled-out" },
--- a/soak/Schedule.h
+++ b/soak/Schedule.h
@@ -34,7 +34,7 @@
   StoreCutting,    /**< Cuts off the watches that wait, again and again. */
   StoreKindBusy,   /**< Refuses the calls on one kind of objects. */
   StoreLosing,     /**< Executes writes of the relays without an answer, some of them late. */
-  StoreCutOff,     /**< Rejects the calls of one relay, in one of four ways. */
+  StoreRejecting,  /**< Rejects the calls of one relay, in one of four ways. */
   StoreRationing,  /**< Takes few calls a second from all relays together. */
   StoreRestored,   /**< Copied at the start of the fault, restored at its end. */
   RolledOut,       /**< A new version; a bad one if the target is odd. */
--- a/standins/users_platform/UsersStoreStandIn.cpp
+++ b/standins/users_platform/UsersStoreStandIn.cpp
@@ -62,8 +62,8 @@
   mSwitches["busy"] = false;
   mSwitches["busy_kind"] = "";
   mSwitches["calls_per_s"] = 0;
-  mSwitches["cut_port"] = 0;
-  mSwitches["cut_how"] = "";
+  mSwitches["reject_port"] = 0;
+  mSwitches["reject_how"] = "";
   mSwitches["silent"] = false;
   mSwitches["lose_watches"] = false;
   mSwitches["lose_writes"] = false;
@@ -107,7 +107,7 @@
       return;
     }
   }
-  if (RejectIfCut(aRequest, aResponse)) {
+  if (RejectByPort(aRequest, aResponse)) {
     return;
   }
   std::this_thread::sleep_for(milliseconds(slowMs));
@@ -121,7 +121,7 @@
     return;
   }
   // A write that was done is not rejected: 503 says that nothing was done.
-  if (aRequest.getMethod() == "GET" && RejectIfCut(aRequest, aResponse)) {
+  if (aRequest.getMethod() == "GET" && RejectByPort(aRequest, aResponse)) {
     return;
   }
   if (outcome.mStatus == 0) {
@@ -156,20 +156,20 @@
 }
 
 /** Returns whether a call came in by the port whose callers are rejected. */
-bool UsersStoreStandIn::IsCut(const Request& aRequest) const
+bool UsersStoreStandIn::IsPortRejected(const Request& aRequest) const
 {
-  return mSwitches["cut_port"].asUInt() == aRequest.serverAddress().port();
+  return mSwitches["reject_port"].asUInt() == aRequest.serverAddress().port();
 }
 
-/** Rejects a call that came in by the port that is cut off, in the way that is set.
+/** Rejects a call that came in by the port whose callers are rejected, in the way that is set.
     @returns whether the call is over */
-bool UsersStoreStandIn::RejectIfCut(Request& aRequest, Response& aResponse)
+bool UsersStoreStandIn::RejectByPort(Request& aRequest, Response& aResponse)
 {
   std::unique_lock lock(mMutex);
-  if (!IsCut(aRequest)) {
+  if (!IsPortRejected(aRequest)) {
     return false;
   }
-  const auto how = mSwitches["cut_how"].asString();
+  const auto how = mSwitches["reject_how"].asString();
   if (how == "silent") {
     mStopped.wait_for(lock, kSilentHold, [this] { return mIsStopping; });
   } else if (how == "reset") {
--- a/standins/users_platform/UsersStoreStandIn.h
+++ b/standins/users_platform/UsersStoreStandIn.h
@@ -39,8 +39,8 @@
   void Handle(Request& aRequest, Response& aResponse);
   void HandleControl(Request& aRequest, Response& aResponse);
   bool IsKindBusy(const Request& aRequest) const;
-  bool RejectIfCut(Request& aRequest, Response& aResponse);
-  bool IsCut(const Request& aRequest) const;
+  bool RejectByPort(Request& aRequest, Response& aResponse);
+  bool IsPortRejected(const Request& aRequest) const;
   bool IsBeyondRate(const Request& aRequest);
   std::optional<std::chrono::milliseconds> DelayIfLost(const Request& aRequest);
   void ExecuteUnanswered(Request& aRequest, std::chrono::milliseconds aDelay);
