--- a/standins/users_platform/UsersStoreStandIn.cpp
+++ b/standins/users_platform/UsersStoreStandIn.cpp
@@ -55,7 +55,7 @@
 
 } // namespace
 
-UsersStoreStandIn::UsersStoreStandIn(Options aOptions)
+UsersStoreStandIn::UsersStoreStandIn(const Options& aOptions)
   : mServer(aOptions.mPort,
             [this](Request& aRequest, Response& aResponse) { Handle(aRequest, aResponse); })
 {
--- a/standins/users_platform/UsersStoreStandIn.h
+++ b/standins/users_platform/UsersStoreStandIn.h
@@ -24,7 +24,7 @@
     std::vector<std::uint16_t> mMorePorts; /**< On which it serves as well. */
   };
 
-  explicit UsersStoreStandIn(Options aOptions);
+  explicit UsersStoreStandIn(const Options& aOptions);
   ~UsersStoreStandIn();
 
   UsersStoreStandIn(const UsersStoreStandIn&) = delete;
